--- /dev/null
+++ b/control/src/main/java/org/mimosacleat/control/package-info.java
@@ -0,0 +1,2 @@
+/** The binary {@code mimosacleatctl}, for operators. */
+package org.mimosacleat.control;
--- /dev/null
+++ b/core/src/main/java/org/mimosacleat/core/id/AvailabilityZone.java
@@ -0,0 +1,25 @@
+package org.mimosacleat.core.id;
+
+import org.mimosacleat.core.check.Checks;
+
+/**
+ * Names one availability zone of a region.
+ *
+ * @param value the name, not blank, at most {@value Checks#MAXIMUM_NAME_LENGTH} characters
+ */
+public record AvailabilityZone(String value) implements Comparable<AvailabilityZone> {
+  /** Checks the name. */
+  public AvailabilityZone {
+    Checks.name("availability zone", value);
+  }
+
+  @Override
+  public int compareTo(AvailabilityZone other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mimosacleat/core/id/CustomerId.java
@@ -0,0 +1,25 @@
+package org.mimosacleat.core.id;
+
+import org.mimosacleat.core.check.Checks;
+
+/**
+ * Names one customer of the operator, as the list of plans spells it.
+ *
+ * @param value the name, not blank, at most {@value Checks#MAXIMUM_NAME_LENGTH} characters
+ */
+public record CustomerId(String value) implements Comparable<CustomerId> {
+  /** Checks the name. */
+  public CustomerId {
+    Checks.name("customer id", value);
+  }
+
+  @Override
+  public int compareTo(CustomerId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mimosacleat/core/id/SessionId.java
@@ -0,0 +1,25 @@
+package org.mimosacleat.core.id;
+
+import org.mimosacleat.core.check.Checks;
+
+/**
+ * Names one session, which may roam between connections and proxies.
+ *
+ * @param value the name, not blank, at most {@value Checks#MAXIMUM_NAME_LENGTH} characters
+ */
+public record SessionId(String value) implements Comparable<SessionId> {
+  /** Checks the name. */
+  public SessionId {
+    Checks.name("session id", value);
+  }
+
+  @Override
+  public int compareTo(SessionId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mimosacleat/core/id/package-info.java
@@ -0,0 +1,2 @@
+/** Value types for the ids of the system, so that one cannot be passed for another. */
+package org.mimosacleat.core.id;
--- /dev/null
+++ b/core/src/main/java/org/mimosacleat/core/statement/package-info.java
@@ -0,0 +1,2 @@
+/** What a statement is, as far as routing needs to know. */
+package org.mimosacleat.core.statement;
--- /dev/null
+++ b/proxy/src/main/java/org/mimosacleat/proxy/package-info.java
@@ -0,0 +1,2 @@
+/** The binary {@code mimosacleat}, which runs on every entry VM. */
+package org.mimosacleat.proxy;
--- /dev/null
+++ b/standin/src/main/java/org/mimosacleat/standin/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Stand-ins for the outside systems and hand-written fakes; no binary uses them on its main path.
+ */
+package org.mimosacleat.standin;
