Read and write PostgreSQL frames

Cause: the relay, the stand-in endpoint and the tests all need frames. Conclusion: enough for the thin path.

--- /dev/null
+++ b/wire/src/main/java/org/mimosacleat/wire/postgres/BodyBuilder.java
@@ -0,0 +1,51 @@
+package org.mimosacleat.wire.postgres;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+
+/** Builds the body of a frame field by field; end with {@link #frame}. */
+public final class BodyBuilder {
+  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+  /** Appends a string and its closing zero byte. */
+  public BodyBuilder string(String value) {
+    body.writeBytes(value.getBytes(StandardCharsets.UTF_8));
+    body.write(0);
+    return this;
+  }
+
+  /** Appends one byte. */
+  public BodyBuilder octet(int value) {
+    body.write(value);
+    return this;
+  }
+
+  /** Appends a 16-bit integer. */
+  public BodyBuilder shortInteger(int value) {
+    body.writeBytes(ByteBuffer.allocate(Short.BYTES).putShort((short) value).array());
+    return this;
+  }
+
+  /** Appends a 32-bit integer. */
+  public BodyBuilder integer(int value) {
+    body.writeBytes(ByteBuffer.allocate(Integer.BYTES).putInt(value).array());
+    return this;
+  }
+
+  /** Appends bytes as they are. */
+  public BodyBuilder bytes(byte[] value) {
+    body.writeBytes(value);
+    return this;
+  }
+
+  /** Returns the frame. */
+  public Frame frame(byte type) {
+    return new Frame(type, body.toByteArray());
+  }
+
+  /** Returns the body alone. */
+  public byte[] toByteArray() {
+    return body.toByteArray();
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/org/mimosacleat/wire/postgres/FrameWriter.java
@@ -0,0 +1,55 @@
+package org.mimosacleat.wire.postgres;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.util.List;
+
+/**
+ * Writes frames to a stream, each call in one write, so that a batch leaves in as few packets as
+ * possible. Each connection has one writer, used by one thread at a time.
+ */
+public final class FrameWriter {
+  private final OutputStream output;
+
+  /** Writes to {@code output}, which should not buffer. */
+  public FrameWriter(OutputStream output) {
+    this.output = output;
+  }
+
+  /** Writes one frame. */
+  public void write(Frame frame) throws IOException {
+    write(List.of(frame));
+  }
+
+  /** Writes frames together. */
+  public void write(List<Frame> frames) throws IOException {
+    output.write(encode(frames));
+    output.flush();
+  }
+
+  /** Writes bytes that are frames already. */
+  public void writeEncoded(byte[] frames) throws IOException {
+    output.write(frames);
+    output.flush();
+  }
+
+  /** Returns frames as the bytes that go on the wire. */
+  public static byte[] encode(List<Frame> frames) {
+    int size = frames.stream().mapToInt(Frame::size).sum();
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream(size);
+    for (Frame frame : frames) {
+      bytes.write(frame.type());
+      writeInt(bytes, frame.body().length + Frame.LENGTH_BYTES);
+      bytes.writeBytes(frame.body());
+    }
+    return bytes.toByteArray();
+  }
+
+  private static void writeInt(ByteArrayOutputStream bytes, int value) {
+    bytes.write(value >>> 24);
+    bytes.write(value >>> 16);
+    bytes.write(value >>> 8);
+    bytes.write(value);
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/org/mimosacleat/wire/postgres/TransactionStatus.java
@@ -0,0 +1,36 @@
+package org.mimosacleat.wire.postgres;
+
+/** The transaction status that a server reports when it is ready for the next query. */
+public enum TransactionStatus {
+  /** Not in a transaction. */
+  IDLE('I'),
+  /** In a transaction. */
+  OPEN('T'),
+  /** In a transaction that has failed and can only be rolled back. */
+  FAILED('E');
+
+  private final byte code;
+
+  TransactionStatus(char code) {
+    this.code = (byte) code;
+  }
+
+  /** Returns the status that a ready-for-query frame carries. */
+  public static TransactionStatus of(Frame readyForQuery) throws FrameException {
+    byte[] body = readyForQuery.body();
+    if (!readyForQuery.is(BackendType.READY_FOR_QUERY) || body.length != 1) {
+      throw new FrameException("ready for query: one byte of status expected");
+    }
+    for (TransactionStatus status : values()) {
+      if (status.code == body[0]) {
+        return status;
+      }
+    }
+    throw new FrameException("ready for query: unknown transaction status " + (char) body[0]);
+  }
+
+  /** Returns the byte on the wire. */
+  public byte code() {
+    return code;
+  }
+}
