Read settings in INI against a schema

Cause: binaries and lists need checked settings whose errors name line, section, key, value and what is allowed. Conclusion: proxy and control can declare their keys.

--- /dev/null
+++ b/core/src/main/java/org/mimosacleat/core/settings/ChoiceType.java
@@ -0,0 +1,35 @@
+package org.mimosacleat.core.settings;
+
+import io.vavr.control.Either;
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.stream.Collectors;
+
+/**
+ * One constant of an enum, written in lower case with {@code -} for {@code _}.
+ *
+ * @param <E> the enum
+ * @param choices the class of the enum
+ */
+public record ChoiceType<E extends Enum<E>>(Class<E> choices) implements ValueType<E> {
+  @Override
+  public Either<String, E> parse(String text) {
+    return Arrays.stream(choices.getEnumConstants())
+        .filter(choice -> spelling(choice).equals(text))
+        .findFirst()
+        .<Either<String, E>>map(Either::right)
+        .orElseGet(() -> Either.left(allowed()));
+  }
+
+  @Override
+  public String allowed() {
+    return Arrays.stream(choices.getEnumConstants())
+        .map(ChoiceType::spelling)
+        .collect(Collectors.joining(", ", "one of ", ""));
+  }
+
+  /** Returns the text of a choice in a settings file. */
+  public static String spelling(Enum<?> choice) {
+    return choice.name().toLowerCase(Locale.ROOT).replace('_', '-');
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mimosacleat/core/settings/DecimalType.java
@@ -0,0 +1,30 @@
+package org.mimosacleat.core.settings;
+
+import io.vavr.control.Either;
+
+/**
+ * A decimal number in a range.
+ *
+ * @param minimum the least value allowed
+ * @param maximum the greatest value allowed
+ * @param unit the unit in words, or empty
+ */
+public record DecimalType(double minimum, double maximum, String unit)
+    implements ValueType<Double> {
+  @Override
+  public Either<String, Double> parse(String text) {
+    try {
+      double value = Double.parseDouble(text);
+      boolean inRange = value >= minimum && value <= maximum;
+      return inRange ? Either.right(value) : Either.left(allowed());
+    } catch (NumberFormatException notDecimal) {
+      return Either.left(allowed());
+    }
+  }
+
+  @Override
+  public String allowed() {
+    String range = "a number from " + minimum + " to " + maximum;
+    return unit.isEmpty() ? range : range + " (" + unit + ")";
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mimosacleat/core/settings/IniCollector.java
@@ -0,0 +1,55 @@
+package org.mimosacleat.core.settings;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.ini4j.spi.IniHandler;
+
+/** Collects the events of the INI parser into sections with their lines. */
+final class IniCollector implements IniHandler {
+  private final LineByLineReader reader;
+  private final List<IniSection> sections = new ArrayList<>();
+  private final List<IniEntry> entries = new ArrayList<>();
+  private String header;
+  private int headerLine;
+
+  IniCollector(LineByLineReader reader) {
+    this.reader = reader;
+  }
+
+  List<IniSection> sections() {
+    return sections;
+  }
+
+  @Override
+  public void startIni() {
+    sections.clear();
+  }
+
+  @Override
+  public void endIni() {
+    // The parser has ended every section by now.
+  }
+
+  @Override
+  public void startSection(String name) {
+    header = name.strip();
+    headerLine = reader.line();
+    entries.clear();
+  }
+
+  @Override
+  public void endSection() {
+    sections.add(new IniSection(header, headerLine, entries));
+  }
+
+  @Override
+  public void handleOption(String key, String value) {
+    String text = value == null ? "" : value.strip();
+    entries.add(new IniEntry(key.strip(), text, reader.line()));
+  }
+
+  @Override
+  public void handleComment(String comment) {
+    // Comments carry no settings.
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mimosacleat/core/settings/IniSection.java
@@ -0,0 +1,20 @@
+package org.mimosacleat.core.settings;
+
+import java.util.List;
+import org.mimosacleat.core.check.Checks;
+
+/**
+ * One section of an INI document.
+ *
+ * @param header the text between the brackets
+ * @param line the line of the header, from 1
+ * @param entries the entries in the order of the text
+ */
+public record IniSection(String header, int line, List<IniEntry> entries) {
+  /** Checks the parts. */
+  public IniSection {
+    Checks.notNull("header", header);
+    Checks.positive("line", line);
+    entries = List.copyOf(entries);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mimosacleat/core/settings/IniText.java
@@ -0,0 +1,59 @@
+package org.mimosacleat.core.settings;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.ini4j.Config;
+import org.ini4j.InvalidFileFormatException;
+import org.ini4j.spi.IniParser;
+
+/**
+ * Reads INI text with the lines of its entries. Comments start with {@code #} or {@code ;} at the
+ * start of a line; there are no escapes and no continued lines, and an entry needs a section.
+ */
+public final class IniText {
+  private IniText() {}
+
+  /** Reads {@code text}; lines that cannot be read are listed and left out. */
+  public static IniDocument parse(String text) {
+    List<String> lines = new ArrayList<>(text.lines().toList());
+    List<SettingsProblem> problems = new ArrayList<>();
+    while (true) {
+      LineByLineReader reader = new LineByLineReader(lines);
+      IniCollector collector = new IniCollector(reader);
+      if (parsed(reader, collector)) {
+        return new IniDocument(collector.sections(), problems);
+      }
+      int badLine = reader.line();
+      problems.add(unreadable(badLine, lines.get(badLine - 1)));
+      lines.set(badLine - 1, "");
+    }
+  }
+
+  private static boolean parsed(LineByLineReader reader, IniCollector collector) {
+    try {
+      parser().parse(reader, collector);
+      return true;
+    } catch (InvalidFileFormatException badLine) {
+      return false;
+    } catch (IOException impossible) {
+      throw new UncheckedIOException("reading from a string failed", impossible);
+    }
+  }
+
+  private static IniParser parser() {
+    Config config = new Config();
+    config.setEscape(false);
+    config.setMultiOption(true);
+    config.setMultiSection(true);
+    config.setEmptyOption(false);
+    config.setEmptySection(true);
+    return IniParser.newInstance(config);
+  }
+
+  private static SettingsProblem unreadable(int line, String text) {
+    return new SettingsProblem(
+        line, "", "", text.strip(), "a [section] or, inside a section, key = value");
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mimosacleat/core/settings/NearestName.java
@@ -0,0 +1,48 @@
+package org.mimosacleat.core.settings;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Optional;
+
+/** Finds the known name that an unknown one was probably meant to be, by edit distance. */
+public final class NearestName {
+  private NearestName() {}
+
+  /** Returns the known name with the fewest edits from {@code unknown}, if there is any name. */
+  public static Optional<String> of(String unknown, Collection<String> known) {
+    return known.stream()
+        .min(
+            Comparator.<String>comparingInt(name -> distance(unknown, name))
+                .thenComparing(Comparator.naturalOrder()));
+  }
+
+  /** Returns "unknown; did you mean X? known are X, Y" as a clause for a message. */
+  public static String hint(String unknown, Collection<String> known) {
+    String all = String.join(", ", known);
+    return of(unknown, known)
+        .map(nearest -> "one of " + all + " (did you mean '" + nearest + "'?)")
+        .orElse("nothing here");
+  }
+
+  private static int distance(String first, String second) {
+    int[] previous = new int[second.length() + 1];
+    for (int column = 0; column <= second.length(); column++) {
+      previous[column] = column;
+    }
+    for (int row = 1; row <= first.length(); row++) {
+      previous = nextRow(previous, first.charAt(row - 1), second, row);
+    }
+    return previous[second.length()];
+  }
+
+  private static int[] nextRow(int[] previous, char letter, String second, int row) {
+    int[] current = new int[previous.length];
+    current[0] = row;
+    for (int column = 1; column < current.length; column++) {
+      int replaced = previous[column - 1] + (letter == second.charAt(column - 1) ? 0 : 1);
+      int edited = 1 + Math.min(previous[column], current[column - 1]);
+      current[column] = Math.min(replaced, edited);
+    }
+    return current;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mimosacleat/core/settings/SettingsCheck.java
@@ -0,0 +1,119 @@
+package org.mimosacleat.core.settings;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** One pass over the sections of a text that collects values and problems. */
+final class SettingsCheck {
+  private static final String HIDDEN = "(hidden)";
+
+  private final SettingsSchema schema;
+  private final List<SettingsProblem> problems;
+  private final List<SettingsSection> sections = new ArrayList<>();
+  private final Set<String> headers = new HashSet<>();
+
+  SettingsCheck(SettingsSchema schema, List<SettingsProblem> earlier) {
+    this.schema = schema;
+    this.problems = new ArrayList<>(earlier);
+  }
+
+  void add(IniSection section) {
+    String[] words = section.header().split("\\s+", 2);
+    String name = words.length > 1 ? words[1].strip() : "";
+    Optional<SectionSchema> known = schema.section(words[0]);
+    if (known.isEmpty()) {
+      refuse(section, NearestName.hint(words[0], schema.headerForms()));
+      return;
+    }
+    SectionSchema sectionSchema = known.get();
+    if (name.isEmpty() == (sectionSchema.form() == SectionForm.NAMED)) {
+      refuse(section, "[" + sectionSchema.headerForm() + "]");
+      return;
+    }
+    if (!headers.add(sectionSchema.kind() + ' ' + name)) {
+      refuse(section, "each section once");
+      return;
+    }
+    sections.add(values(section, sectionSchema, name));
+  }
+
+  Either<List<SettingsProblem>, Settings> finish() {
+    for (SectionSchema sectionSchema : schema.sections()) {
+      boolean single = sectionSchema.form() == SectionForm.SINGLE;
+      if (single && !headers.contains(sectionSchema.kind() + ' ')) {
+        sections.add(defaults(sectionSchema));
+      }
+    }
+    if (problems.isEmpty()) {
+      return Either.right(new Settings(sections));
+    }
+    problems.sort(Comparator.comparingInt(SettingsProblem::line));
+    return Either.left(List.copyOf(problems));
+  }
+
+  private void refuse(IniSection section, String allowed) {
+    problems.add(new SettingsProblem(section.line(), section.header(), "", "", allowed));
+  }
+
+  private SettingsSection values(IniSection section, SectionSchema sectionSchema, String name) {
+    Map<String, String> texts = new HashMap<>();
+    for (IniEntry entry : section.entries()) {
+      check(section, sectionSchema, entry, texts);
+    }
+    fillDefaults(sectionSchema, section.header(), section.line(), texts);
+    return new SettingsSection(sectionSchema.kind(), name, section.line(), texts);
+  }
+
+  private SettingsSection defaults(SectionSchema sectionSchema) {
+    Map<String, String> texts = new HashMap<>();
+    fillDefaults(sectionSchema, sectionSchema.kind(), 0, texts);
+    return new SettingsSection(sectionSchema.kind(), "", 0, texts);
+  }
+
+  private void check(
+      IniSection section, SectionSchema sectionSchema, IniEntry entry, Map<String, String> texts) {
+    Optional<Setting<?>> setting = sectionSchema.setting(entry.key());
+    if (setting.isEmpty()) {
+      // A misspelt key may belong to a secret, so its value is not repeated.
+      String hint = "a known key: " + NearestName.hint(entry.key(), sectionSchema.keys());
+      problems.add(problem(section, entry, HIDDEN, hint));
+      return;
+    }
+    ValueType<?> type = setting.get().type();
+    String shown = type.isSecret() ? HIDDEN : entry.value();
+    if (texts.put(entry.key(), entry.value()) != null) {
+      problems.add(problem(section, entry, shown, "each key once in a section"));
+    }
+    Either<String, ?> value = type.parse(entry.value());
+    if (value.isLeft()) {
+      problems.add(problem(section, entry, shown, value.getLeft()));
+    }
+  }
+
+  private void fillDefaults(
+      SectionSchema sectionSchema, String header, int line, Map<String, String> texts) {
+    for (Setting<?> setting : sectionSchema.settings()) {
+      if (texts.containsKey(setting.key())) {
+        continue;
+      }
+      if (setting.defaultText().isPresent()) {
+        texts.put(setting.key(), setting.defaultText().get());
+        continue;
+      }
+      String allowed = setting.type().allowed() + ", and the key must be given";
+      problems.add(new SettingsProblem(line, header, setting.key(), "", allowed));
+    }
+  }
+
+  private static SettingsProblem problem(
+      IniSection section, IniEntry entry, String shown, String allowed) {
+    return new SettingsProblem(entry.line(), section.header(), entry.key(), shown, allowed);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mimosacleat/core/settings/SettingsSection.java
@@ -0,0 +1,37 @@
+package org.mimosacleat.core.settings;
+
+import java.util.Map;
+import org.mimosacleat.core.check.Checks;
+
+/**
+ * The checked values of one section, defaults filled in.
+ *
+ * @param kind the first word of the header
+ * @param name the rest of the header; empty for a section that stands alone
+ * @param line the line of the header, or 0 if the text does not have the section
+ * @param texts the text of each key
+ */
+public record SettingsSection(String kind, String name, int line, Map<String, String> texts) {
+  /** Copies the map. */
+  public SettingsSection {
+    Checks.notNull("section kind", kind);
+    Checks.notNull("section name", name);
+    texts = Map.copyOf(texts);
+  }
+
+  /**
+   * Returns the value of a setting.
+   *
+   * @throws IllegalArgumentException if the section's schema does not have the setting
+   */
+  public <T> T get(Setting<T> setting) {
+    String text = texts.get(setting.key());
+    if (text == null) {
+      throw new IllegalArgumentException("[" + kind + "] has no setting '" + setting.key() + "'");
+    }
+    return setting
+        .type()
+        .parse(text)
+        .getOrElseThrow(allowed -> new IllegalArgumentException(setting.key() + ": " + allowed));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mimosacleat/core/settings/TextType.java
@@ -0,0 +1,18 @@
+package org.mimosacleat.core.settings;
+
+import io.vavr.control.Either;
+import org.mimosacleat.core.check.Checks;
+
+/** A name or another text: not blank, of at most {@value Checks#MAXIMUM_NAME_LENGTH} characters. */
+public record TextType() implements ValueType<String> {
+  @Override
+  public Either<String, String> parse(String text) {
+    boolean fits = !text.isBlank() && text.length() <= Checks.MAXIMUM_NAME_LENGTH;
+    return fits ? Either.right(text) : Either.left(allowed());
+  }
+
+  @Override
+  public String allowed() {
+    return "a text of 1 to " + Checks.MAXIMUM_NAME_LENGTH + " characters";
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mimosacleat/core/settings/WholeNumberType.java
@@ -0,0 +1,29 @@
+package org.mimosacleat.core.settings;
+
+import io.vavr.control.Either;
+
+/**
+ * A whole number in a range.
+ *
+ * @param minimum the least value allowed
+ * @param maximum the greatest value allowed
+ * @param unit the unit in words, or empty
+ */
+public record WholeNumberType(long minimum, long maximum, String unit) implements ValueType<Long> {
+  @Override
+  public Either<String, Long> parse(String text) {
+    try {
+      long value = Long.parseLong(text);
+      boolean inRange = value >= minimum && value <= maximum;
+      return inRange ? Either.right(value) : Either.left(allowed());
+    } catch (NumberFormatException notWhole) {
+      return Either.left(allowed());
+    }
+  }
+
+  @Override
+  public String allowed() {
+    String range = "a whole number from " + minimum + " to " + maximum;
+    return unit.isEmpty() ? range : range + " (" + unit + ")";
+  }
+}
