Decide session positions and routing by term and log position

Cause: reads have to see the own writes of their session through any proxy, and replicas lag. Without the lease it asks for a proof newer than the read.

--- /dev/null
+++ b/core/src/main/java/org/mimosacleat/core/routing/FreshnessRouter.java
@@ -0,0 +1,197 @@
+package org.mimosacleat.core.routing;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.mimosacleat.core.check.Checks;
+import org.mimosacleat.core.error.ErrorKind;
+import org.mimosacleat.core.error.Failure;
+import org.mimosacleat.core.group.EndpointView;
+import org.mimosacleat.core.group.GroupSnapshot;
+import org.mimosacleat.core.id.AvailabilityZone;
+import org.mimosacleat.core.position.LogPosition;
+import org.mimosacleat.core.position.Position;
+import org.mimosacleat.core.position.Term;
+
+/**
+ * Sends a read to a replica only if term and position prove that it is fresh enough.
+ *
+ * <p>While the home holds the lease, every acknowledged write of the group went through it, so its
+ * own records say what a read needs. Without the lease it needs a proof that was asked for after
+ * the read arrived. Among the proven replicas the less busy of two drawn at random is taken. If
+ * none is proven, the read waits for a short time when a replica is likely to catch up within it,
+ * and goes to the primary otherwise. The router holds no state and may be shared by threads if the
+ * random generator may.
+ */
+public final class FreshnessRouter implements Router {
+  private final InstantSource clock;
+  private final RandomGenerator random;
+  private final EndpointLoads loads;
+  private final AvailabilityZone ownZone;
+  private final RoutingSettings settings;
+
+  /** Makes a router for a home in {@code ownZone}. */
+  public FreshnessRouter(
+      InstantSource clock,
+      RandomGenerator random,
+      EndpointLoads loads,
+      AvailabilityZone ownZone,
+      RoutingSettings settings) {
+    this.clock = Checks.notNull("clock", clock);
+    this.random = Checks.notNull("random generator", random);
+    this.loads = Checks.notNull("endpoint loads", loads);
+    this.ownZone = Checks.notNull("availability zone", ownZone);
+    this.settings = Checks.notNull("routing settings", settings);
+  }
+
+  @Override
+  public RouteDecision route(RouteRequest request, GroupKnowledge knowledge) {
+    if (!clock.instant().isBefore(request.deadline())) {
+      return refuse(ErrorKind.DEADLINE_BEFORE_START, "the deadline passed before an endpoint");
+    }
+    if (request.kind().mayWrite()) {
+      return toPrimary(request, knowledge.snapshot());
+    }
+    if (!knowledge.isAuthoritativeAt(request.arrivedAt())) {
+      return new RouteDecision.AwaitProof(request.deadline());
+    }
+    if (!request.mayLeavePrimary()) {
+      return toPrimary(request, knowledge.snapshot());
+    }
+    return needed(request, knowledge)
+        .map(position -> toFreshEndpoint(request, knowledge, position))
+        .orElseGet(() -> toPrimary(request, knowledge.snapshot()));
+  }
+
+  private RouteDecision toFreshEndpoint(
+      RouteRequest request, GroupKnowledge knowledge, Position needed) {
+    GroupSnapshot snapshot = knowledge.snapshot();
+    if (needed.term().isAfter(snapshot.term())) {
+      return refuse(ErrorKind.NOT_HOME, "the home knows a later term than its snapshot");
+    }
+    List<EndpointView> fresh =
+        snapshot.replicas().stream()
+            .filter(EndpointView::isLive)
+            .filter(view -> hasReplayed(view, needed, snapshot.term()))
+            .toList();
+    if (!fresh.isEmpty()) {
+      return spillOrTake(lessBusyOfTwo(fresh), snapshot);
+    }
+    return expectedFirst(knowledge, needed)
+        .filter(candidate -> candidate.at().isBefore(waitLimit(request)))
+        .<RouteDecision>map(
+            candidate ->
+                new RouteDecision.AwaitReplica(candidate.view().id(), needed, waitLimit(request)))
+        .orElseGet(() -> toPrimary(request, snapshot));
+  }
+
+  /** Returns the position that a replica has to show, or empty if only the primary will do. */
+  private static Optional<Position> needed(RouteRequest request, GroupKnowledge knowledge) {
+    if (!knowledge.leaseHeld()) {
+      return knowledge.history().including(request.arrivedAt());
+    }
+    return switch (request.freshness()) {
+      case Freshness.Latest() -> Optional.empty();
+      case Freshness.OwnWrites(Optional<Position> required) -> required;
+      case Freshness.MaximumAge(Duration age, Optional<Position> required) ->
+          required.flatMap(
+              own ->
+                  knowledge
+                      .history()
+                      .including(request.arrivedAt().minus(age))
+                      .or(knowledge::acknowledged)
+                      .map(others -> longer(own, others)));
+    };
+  }
+
+  /**
+   * Compares log positions and demands the current term of the replica: an acknowledged write is in
+   * the history of every later term at the same log position, and a replica of an earlier term may
+   * hold log that is not in the history.
+   */
+  private static boolean hasReplayed(EndpointView view, Position needed, Term term) {
+    return view.replayed().term().equals(term)
+        && view.replayed().log().compareTo(needed.log()) >= 0;
+  }
+
+  private static Position longer(Position first, Position second) {
+    LogPosition log = first.log().compareTo(second.log()) >= 0 ? first.log() : second.log();
+    return new Position(Position.latest(first, second).term(), log);
+  }
+
+  private EndpointView lessBusyOfTwo(List<EndpointView> candidates) {
+    if (candidates.size() == 1) {
+      return candidates.getFirst();
+    }
+    int first = random.nextInt(candidates.size());
+    int second = (first + 1 + random.nextInt(candidates.size() - 1)) % candidates.size();
+    return better(candidates.get(first), candidates.get(second));
+  }
+
+  private EndpointView better(EndpointView first, EndpointView second) {
+    Duration firstWait = loads.expectedWait(first.id());
+    Duration secondWait = loads.expectedWait(second.id());
+    Duration difference = firstWait.minus(secondWait);
+    if (difference.abs().compareTo(settings.zoneTolerance()) > 0) {
+      return difference.isNegative() ? first : second;
+    }
+    return second.zone().equals(ownZone) && !first.zone().equals(ownZone) ? second : first;
+  }
+
+  private RouteDecision spillOrTake(EndpointView replica, GroupSnapshot snapshot) {
+    Duration atReplica = loads.expectedWait(replica.id());
+    boolean spill =
+        snapshot
+            .primaryView()
+            .filter(EndpointView::isLive)
+            .map(primary -> loads.expectedWait(primary.id()).plus(settings.spillMargin()))
+            .filter(atPrimary -> atReplica.compareTo(atPrimary) > 0)
+            .isPresent();
+    return spill
+        ? new RouteDecision.ToPrimary(snapshot.primary().orElseThrow())
+        : new RouteDecision.ToReplica(replica.id());
+  }
+
+  /** Returns the live replica of the current term that is likely to replay the position first. */
+  private Optional<CatchUp> expectedFirst(GroupKnowledge knowledge, Position needed) {
+    Instant writtenAt = knowledge.history().firstSeen(needed).orElse(clock.instant());
+    return knowledge.snapshot().replicas().stream()
+        .filter(EndpointView::isLive)
+        .filter(view -> view.replayed().term().equals(knowledge.snapshot().term()))
+        .map(view -> new CatchUp(view, writtenAt.plus(lag(view, knowledge.history()))))
+        .min(Comparator.comparing(CatchUp::at));
+  }
+
+  /** Estimates the lag: how long ago the primary wrote what the replica had not replayed. */
+  private static Duration lag(EndpointView view, PrimaryHistory history) {
+    return history
+        .firstSeenAfter(view.replayed())
+        .filter(writtenAt -> writtenAt.isBefore(view.askedAt()))
+        .map(writtenAt -> Duration.between(writtenAt, view.askedAt()))
+        .orElse(Duration.ZERO);
+  }
+
+  private Instant waitLimit(RouteRequest request) {
+    Instant limit = request.arrivedAt().plus(settings.maximumCatchUpWait());
+    Instant end = limit.isBefore(request.deadline()) ? limit : request.deadline();
+    return end.isAfter(clock.instant()) ? end : Instant.MIN;
+  }
+
+  private static RouteDecision toPrimary(RouteRequest request, GroupSnapshot snapshot) {
+    return snapshot
+        .primaryView()
+        .filter(EndpointView::isLive)
+        .<RouteDecision>map(view -> new RouteDecision.ToPrimary(view.id()))
+        .orElseGet(() -> new RouteDecision.AwaitPrimary(request.deadline()));
+  }
+
+  private static RouteDecision refuse(ErrorKind kind, String detail) {
+    return new RouteDecision.Refuse(new Failure(kind, detail));
+  }
+
+  private record CatchUp(EndpointView view, Instant at) {}
+}
--- /dev/null
+++ b/core/src/main/java/org/mimosacleat/core/session/SessionPositions.java
@@ -0,0 +1,38 @@
+package org.mimosacleat.core.session;
+
+import java.util.Optional;
+import org.mimosacleat.core.id.SessionId;
+import org.mimosacleat.core.position.Position;
+
+/**
+ * Knows, at the home of a group, the position that the next read of a session has to see.
+ *
+ * <p>The home calls {@link #acknowledged} before it answers a write, and {@link #required} when a
+ * read arrives. After a change of home or of primary it calls {@link #takenOver} first; until then
+ * no position is known to be enough.
+ */
+public interface SessionPositions {
+  /**
+   * Returns a position that includes every acknowledged write of the session, or empty if none is
+   * known, in which case only the primary may serve the read.
+   */
+  Optional<Position> required(SessionId session);
+
+  /** Returns a position that includes every acknowledged write of all sessions, or empty. */
+  Optional<Position> highest();
+
+  /**
+   * Records an acknowledged write.
+   *
+   * @param commit a position at or after the commit of the write
+   */
+  void acknowledged(SessionId session, Position commit);
+
+  /**
+   * Sets the position that sessions without a record need.
+   *
+   * @param position for a new home: the position of the primary, asked after the home got the
+   *     lease; for a new primary: the position at which its term starts
+   */
+  void takenOver(Position position);
+}
--- /dev/null
+++ b/core/src/test/java/org/mimosacleat/core/routing/FreshnessRouterTest.java
@@ -0,0 +1,249 @@
+package org.mimosacleat.core.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.mimosacleat.core.error.ErrorKind;
+import org.mimosacleat.core.group.EndpointState;
+import org.mimosacleat.core.group.EndpointView;
+import org.mimosacleat.core.group.GroupSnapshot;
+import org.mimosacleat.core.id.AvailabilityZone;
+import org.mimosacleat.core.id.EndpointId;
+import org.mimosacleat.core.id.GroupId;
+import org.mimosacleat.core.position.LogPosition;
+import org.mimosacleat.core.position.Position;
+import org.mimosacleat.core.position.Term;
+import org.mimosacleat.core.statement.StatementKind;
+import org.mimosacleat.core.time.PausedClock;
+
+class FreshnessRouterTest {
+  private static final EndpointId PRIMARY = new EndpointId("primary");
+  private static final EndpointId NEAR = new EndpointId("near");
+  private static final EndpointId FAR = new EndpointId("far");
+
+  private final PausedClock clock = new PausedClock();
+  private final Map<EndpointId, Duration> waits = new HashMap<>();
+  private final Router router = router(clock);
+
+  @Test
+  void readGoesToTheReplicaThatHasReplayedTheOwnWrites() {
+    RouteDecision decision = router.route(ownWrites(at(2, 100)), knowledge(at(2, 100), at(2, 99)));
+
+    assertEquals(new RouteDecision.ToReplica(NEAR), decision);
+  }
+
+  @Test
+  void longerLogOfAnEarlierTermIsNoProof() {
+    RouteDecision decision = router.route(ownWrites(at(1, 90)), knowledge(at(1, 950), at(1, 950)));
+
+    assertEquals(new RouteDecision.ToPrimary(PRIMARY), decision);
+  }
+
+  @Test
+  void laterTermWithShorterLogThanAnAcknowledgedWriteIsNoProof() {
+    RouteDecision decision = router.route(ownWrites(at(1, 90)), knowledge(at(2, 80), at(2, 80)));
+
+    assertInstanceOf(RouteDecision.AwaitReplica.class, decision);
+  }
+
+  @Test
+  void readOfStatedAgeUsesOnlyQuestionsSentWithinTheAge() {
+    PrimaryHistory history =
+        PrimaryHistory.empty()
+            .with(clock.instant().minusMillis(100), at(2, 50))
+            .with(clock.instant().minusMillis(40), at(2, 70));
+
+    assertEquals(
+        new RouteDecision.ToReplica(NEAR),
+        router.route(aged(100), withHistory(knowledge(at(2, 50), at(2, 10)), history)));
+    assertInstanceOf(
+        RouteDecision.AwaitReplica.class,
+        router.route(aged(99), withHistory(knowledge(at(2, 69), at(2, 10)), history)));
+  }
+
+  @Test
+  void replicaFarBehindIsNotWaitedFor() {
+    PrimaryHistory history =
+        PrimaryHistory.empty()
+            .with(clock.instant().minusMillis(400), at(2, 60))
+            .with(clock.instant().minusMillis(1), at(2, 100));
+
+    RouteDecision decision =
+        router.route(ownWrites(at(2, 100)), withHistory(knowledge(at(2, 50), at(2, 50)), history));
+
+    assertEquals(new RouteDecision.ToPrimary(PRIMARY), decision);
+  }
+
+  @Test
+  void waitForReplicaEndsAtThePrimary() {
+    RouteRequest request = ownWrites(at(2, 100));
+    clock.advance(RoutingSettings.DEFAULT.maximumCatchUpWait());
+
+    assertEquals(
+        new RouteDecision.ToPrimary(PRIMARY),
+        router.route(request, knowledge(at(2, 99), at(2, 99))));
+  }
+
+  @Test
+  void withoutLeaseReadsNeedProofAskedAfterTheyArrived() {
+    GroupKnowledge stale = unleased(knowledge(at(2, 100), at(2, 100)), Instant.MIN);
+    assertInstanceOf(RouteDecision.AwaitProof.class, router.route(ownWrites(at(2, 100)), stale));
+
+    GroupKnowledge proven = unleased(knowledge(at(2, 100), at(2, 100)), clock.instant());
+    assertEquals(new RouteDecision.ToPrimary(PRIMARY), router.route(ownWrites(at(2, 100)), proven));
+    PrimaryHistory asked = PrimaryHistory.empty().with(clock.instant(), at(2, 100));
+    assertInstanceOf(
+        RouteDecision.ToReplica.class,
+        router.route(ownWrites(at(2, 1)), withHistory(proven, asked)));
+  }
+
+  @Test
+  void busyReplicaIsAvoidedAndEqualOnesAreTakenInTheOwnZone() {
+    assertEquals(
+        new RouteDecision.ToReplica(NEAR),
+        router.route(ownWrites(at(2, 1)), knowledge(at(2, 9), at(2, 9))));
+    waits.put(NEAR, Duration.ofMillis(9));
+    assertEquals(
+        new RouteDecision.ToReplica(FAR),
+        router.route(ownWrites(at(2, 1)), knowledge(at(2, 9), at(2, 9))));
+    waits.put(NEAR, Duration.ofSeconds(1));
+    waits.put(FAR, Duration.ofSeconds(1));
+    assertEquals(
+        new RouteDecision.ToPrimary(PRIMARY),
+        router.route(ownWrites(at(2, 1)), knowledge(at(2, 9), at(2, 9))));
+  }
+
+  @Test
+  void writesWaitWhileThereIsNoPrimaryAndAreRefusedAtTheDeadline() {
+    RouteRequest write =
+        new RouteRequest(
+            StatementKind.WRITE,
+            new Freshness.Latest(),
+            clock.instant(),
+            clock.instant().plusSeconds(1));
+    GroupKnowledge headless = withoutPrimary(knowledge(at(2, 9), at(2, 9)));
+
+    assertEquals(new RouteDecision.AwaitPrimary(write.deadline()), router.route(write, headless));
+    clock.advance(Duration.ofSeconds(1));
+    RouteDecision.Refuse refused =
+        assertInstanceOf(RouteDecision.Refuse.class, router.route(write, headless));
+    assertEquals(ErrorKind.DEADLINE_BEFORE_START, refused.failure().kind());
+  }
+
+  @Test
+  void historyStaysBoundedAndKeepsItsPromise() {
+    PrimaryHistory history = PrimaryHistory.empty();
+    Instant start = clock.instant();
+    for (int second = 0; second < 5_000; second++) {
+      history = history.with(start.plusSeconds(second), at(1, second));
+    }
+
+    assertTrue(history.size() <= PrimaryHistory.MAXIMUM_SAMPLES);
+    for (int second = 0; second < 5_000; second++) {
+      assertTrue(
+          history.including(start.plusSeconds(second)).orElseThrow().log().bytes() >= second);
+    }
+  }
+
+  @Property(seed = "4002", tries = 100)
+  void noReadIsStale(@ForAll long seed) {
+    PausedClock time = new PausedClock();
+    ReadOracle oracle = new ReadOracle(seed, time, router(time));
+    oracle.run();
+
+    assertEquals(0, oracle.staleReads(), "seed " + seed);
+    assertTrue(oracle.replicaReads() > 0, "seed " + seed);
+  }
+
+  @Test
+  void oracleCatchesRoutersThatForgetTheProof() {
+    PausedClock time = new PausedClock();
+    ReadOracle any =
+        new ReadOracle(1, time, new UnprovenRouter(router(time), UnprovenRouter.ANY_REPLICA));
+    any.run();
+    ReadOracle forgetful =
+        new ReadOracle(1, time, new UnprovenRouter(router(time), UnprovenRouter.FORGETS_TERM));
+    forgetful.run();
+
+    assertTrue(any.staleReads() > 0);
+    assertTrue(forgetful.staleReads() > 0);
+  }
+
+  private Router router(PausedClock time) {
+    return new FreshnessRouter(
+        time,
+        new Random(1),
+        endpoint -> waits.getOrDefault(endpoint, Duration.ZERO),
+        new AvailabilityZone("tamaki"),
+        RoutingSettings.DEFAULT);
+  }
+
+  private RouteRequest ownWrites(Position required) {
+    return read(new Freshness.OwnWrites(Optional.of(required)));
+  }
+
+  private RouteRequest aged(long milliseconds) {
+    return read(
+        new Freshness.MaximumAge(Duration.ofMillis(milliseconds), Optional.of(Position.NONE)));
+  }
+
+  private RouteRequest read(Freshness freshness) {
+    Instant now = clock.instant();
+    return new RouteRequest(StatementKind.READ, freshness, now, now.plusSeconds(1));
+  }
+
+  private GroupKnowledge knowledge(Position near, Position far) {
+    GroupSnapshot snapshot =
+        new GroupSnapshot(
+            new GroupId("lending"),
+            new Term(2),
+            Optional.of(PRIMARY),
+            List.of(
+                view(PRIMARY, "kirikiriroa", at(2, 1_000)),
+                view(NEAR, "tamaki", near),
+                view(FAR, "te-whanganui", far)));
+    return new GroupKnowledge(
+        snapshot, PrimaryHistory.empty(), Optional.of(at(2, 1_000)), true, Instant.MIN);
+  }
+
+  private static GroupKnowledge withHistory(GroupKnowledge known, PrimaryHistory history) {
+    return new GroupKnowledge(
+        known.snapshot(), history, known.acknowledged(), known.leaseHeld(), known.provenAt());
+  }
+
+  private static GroupKnowledge unleased(GroupKnowledge known, Instant provenAt) {
+    return new GroupKnowledge(
+        known.snapshot(), known.history(), known.acknowledged(), false, provenAt);
+  }
+
+  private static GroupKnowledge withoutPrimary(GroupKnowledge known) {
+    GroupSnapshot snapshot = known.snapshot();
+    return new GroupKnowledge(
+        new GroupSnapshot(
+            snapshot.group(), snapshot.term(), Optional.empty(), snapshot.endpoints()),
+        known.history(),
+        known.acknowledged(),
+        known.leaseHeld(),
+        known.provenAt());
+  }
+
+  private EndpointView view(EndpointId id, String zone, Position position) {
+    return new EndpointView(
+        id, new AvailabilityZone(zone), EndpointState.LIVE, position, position, clock.instant());
+  }
+
+  private static Position at(long term, long log) {
+    return new Position(new Term(term), new LogPosition(log));
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/mimosacleat/core/routing/ReadOracle.java
@@ -0,0 +1,167 @@
+package org.mimosacleat.core.routing;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.mimosacleat.core.group.EndpointState;
+import org.mimosacleat.core.group.EndpointView;
+import org.mimosacleat.core.group.GroupSnapshot;
+import org.mimosacleat.core.id.AvailabilityZone;
+import org.mimosacleat.core.id.EndpointId;
+import org.mimosacleat.core.id.GroupId;
+import org.mimosacleat.core.id.SessionId;
+import org.mimosacleat.core.position.LogPosition;
+import org.mimosacleat.core.position.Position;
+import org.mimosacleat.core.position.Term;
+import org.mimosacleat.core.session.SessionPositionTable;
+import org.mimosacleat.core.session.SessionPositions;
+import org.mimosacleat.core.statement.StatementKind;
+import org.mimosacleat.core.time.PausedClock;
+
+/** Drives a router over random writes, lags, polls and promotions, and counts stale reads. */
+final class ReadOracle {
+  private static final int ROUNDS = 400;
+  private static final int SESSIONS = 5;
+  private static final int REPLICAS = 2;
+  private static final EndpointId PRIMARY = new EndpointId("primary");
+  private static final AvailabilityZone ZONE = new AvailabilityZone("tamaki");
+
+  private final Random random;
+  private final PausedClock clock;
+  private final Router router;
+  private final SessionPositions sessions = new SessionPositionTable(4);
+  private final long[] sessionLog = new long[SESSIONS];
+  private final List<Write> writes = new ArrayList<>();
+  private final Position[] actual = new Position[REPLICAS];
+  private final EndpointView[] known = new EndpointView[REPLICAS];
+  private Term term = Term.FIRST;
+  private long fork;
+  private long log;
+  private PrimaryHistory history = PrimaryHistory.empty();
+  private int staleReads;
+  private int replicaReads;
+
+  ReadOracle(long seed, PausedClock clock, Router router) {
+    this.random = new Random(seed);
+    this.clock = clock;
+    this.router = router;
+    sessions.takenOver(new Position(term, LogPosition.START));
+    for (int replica = 0; replica < REPLICAS; replica++) {
+      actual[replica] = new Position(term, LogPosition.START);
+      poll(replica);
+    }
+  }
+
+  void run() {
+    for (int round = 0; round < ROUNDS; round++) {
+      clock.advance(Duration.ofMillis(random.nextInt(10)));
+      switch (random.nextInt(8)) {
+        case 0, 1 -> write(random.nextInt(SESSIONS));
+        case 2 -> replay(random.nextInt(REPLICAS));
+        case 3 -> poll(random.nextInt(REPLICAS));
+        case 4 -> history = history.with(clock.instant(), new Position(term, new LogPosition(log)));
+        case 5 -> maybePromote();
+        default -> read(random.nextInt(SESSIONS));
+      }
+    }
+  }
+
+  int staleReads() {
+    return staleReads;
+  }
+
+  int replicaReads() {
+    return replicaReads;
+  }
+
+  private void write(int session) {
+    log += 10;
+    Position commit = new Position(term, new LogPosition(log));
+    sessions.acknowledged(id(session), commit);
+    sessionLog[session] = log;
+    writes.add(new Write(clock.instant(), log));
+  }
+
+  /** The replica that is left behind may hold log of the earlier term past the fork. */
+  private void maybePromote() {
+    if (random.nextInt(4) > 0) {
+      return;
+    }
+    fork = log;
+    term = term.next();
+    actual[0] = new Position(actual[0].term(), new LogPosition(log + 1_000));
+    history = PrimaryHistory.empty();
+    sessions.takenOver(new Position(term, new LogPosition(fork)));
+  }
+
+  private void replay(int replica) {
+    long reached = Math.min(actual[replica].log().bytes(), log);
+    long next = reached + random.nextLong(log - reached + 1);
+    actual[replica] = new Position(next >= fork ? term : Term.FIRST, new LogPosition(next));
+  }
+
+  private void poll(int replica) {
+    known[replica] =
+        new EndpointView(
+            new EndpointId("replica-" + replica),
+            ZONE,
+            EndpointState.LIVE,
+            actual[replica],
+            actual[replica],
+            clock.instant());
+  }
+
+  private void read(int session) {
+    Duration age = Duration.ofMillis(random.nextInt(60));
+    boolean ownOnly = random.nextBoolean();
+    Optional<Position> required = sessions.required(id(session));
+    Freshness freshness =
+        ownOnly ? new Freshness.OwnWrites(required) : new Freshness.MaximumAge(age, required);
+    RouteRequest request =
+        new RouteRequest(
+            StatementKind.READ, freshness, clock.instant(), clock.instant().plusSeconds(1));
+    if (!(router.route(request, knowledge()) instanceof RouteDecision.ToReplica(EndpointId to))) {
+      return;
+    }
+    replicaReads++;
+    Instant horizon = clock.instant().minus(age);
+    long others =
+        writes.stream()
+            .filter(write -> !ownOnly && write.at().isBefore(horizon))
+            .mapToLong(Write::log)
+            .max()
+            .orElse(0);
+    Position seen = actual[Integer.parseInt(to.value().substring("replica-".length()))];
+    boolean outsideHistory = !seen.term().equals(term) && seen.log().bytes() > fork;
+    if (outsideHistory || seen.log().bytes() < Math.max(sessionLog[session], others)) {
+      staleReads++;
+    }
+  }
+
+  private GroupKnowledge knowledge() {
+    EndpointView primary =
+        new EndpointView(
+            PRIMARY,
+            ZONE,
+            EndpointState.LIVE,
+            new Position(term, new LogPosition(log)),
+            new Position(term, new LogPosition(log)),
+            clock.instant());
+    GroupSnapshot snapshot =
+        new GroupSnapshot(
+            new GroupId("lending"),
+            term,
+            Optional.of(PRIMARY),
+            List.of(primary, known[0], known[1]));
+    return new GroupKnowledge(snapshot, history, sessions.highest(), true, Instant.MIN);
+  }
+
+  private static SessionId id(int session) {
+    return new SessionId("session-" + session);
+  }
+
+  private record Write(Instant at, long log) {}
+}
