--- /dev/null
+++ b/core/src/test/java/org/mimosacleat/core/schedule/SlotSchedulerPropertyTest.java
@@ -0,0 +1,95 @@
+package org.mimosacleat.core.schedule;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.UnaryOperator;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.mimosacleat.core.id.CustomerId;
+import org.mimosacleat.core.id.EndpointId;
+import org.mimosacleat.core.time.PausedClock;
+
+/** Drives a scheduler at random: each statement starts or is refused once, within the slots. */
+class SlotSchedulerPropertyTest {
+  private static final EndpointId ONE = new EndpointId("one");
+  private static final EndpointId TWO = new EndpointId("two");
+  private static final int SLOTS = 2;
+
+  @Property(seed = "4005", tries = 200)
+  void everyStatementStartsOrIsRefusedOnceWithinSlotsAndDeadline(@ForAll long seed) {
+    assertEquals("", firstFault(seed, refusals -> refusals));
+  }
+
+  @Example
+  void theCheckFindsRefusalsThatAreLost() {
+    assertNotEquals("", firstFault(7, refusals -> List.of()));
+  }
+
+  private static String firstFault(long seed, UnaryOperator<List<Refusal>> refusalsSeen) {
+    SplittableRandom random = new SplittableRandom(seed);
+    PausedClock clock = new PausedClock();
+    SlotScheduler scheduler =
+        new SlotScheduler(
+            SlotSettings.STANDARD, new ServiceTimeEstimator(EstimatorSettings.STANDARD), clock);
+    scheduler.addEndpoint(ONE, SLOTS);
+    scheduler.addEndpoint(TWO, SLOTS);
+    Map<Ticket, java.time.Instant> waiting = new HashMap<>();
+    List<Start> running = new ArrayList<>();
+    for (int step = 0; step < 400; step++) {
+      switch (random.nextInt(4)) {
+        case 0, 1 -> {
+          Work work = randomWork(random, clock);
+          scheduler.submit(work).peek(ticket -> waiting.put(ticket, work.deadline()));
+        }
+        case 2 -> clock.advance(Duration.ofMillis(random.nextInt(20)));
+        default -> {
+          if (!running.isEmpty()) {
+            scheduler.finished(running.remove(random.nextInt(running.size())).ticket());
+          }
+        }
+      }
+      for (Refusal refusal : refusalsSeen.apply(scheduler.tick())) {
+        if (waiting.remove(refusal.ticket()) == null) {
+          return "refused what does not wait: " + refusal;
+        }
+      }
+      for (Optional<Start> next = scheduler.next(); next.isPresent(); next = scheduler.next()) {
+        Start start = next.get();
+        if (waiting.remove(start.ticket()) == null) {
+          return "started what does not wait: " + start;
+        }
+        running.add(start);
+      }
+      for (EndpointId endpoint : List.of(ONE, TWO)) {
+        if (running.stream().filter(start -> start.endpoint().equals(endpoint)).count() > SLOTS) {
+          return "too many run on " + endpoint;
+        }
+      }
+      if (waiting.values().stream().anyMatch(clock.instant()::isAfter)) {
+        return "a statement waits past its deadline";
+      }
+    }
+    return "";
+  }
+
+  private static Work randomWork(SplittableRandom random, PausedClock clock) {
+    Set<EndpointId> eligible = random.nextBoolean() ? Set.of(ONE) : Set.of(ONE, TWO);
+    return new Work(
+        new CustomerId("customer-" + random.nextInt(3)),
+        1 + random.nextInt(3),
+        new Fingerprint(random.nextInt(5)),
+        eligible,
+        clock.instant().plusMillis(1 + random.nextInt(300)),
+        random.nextInt(10) == 0);
+  }
+}
