Add the platform's interfaces with fakes whose faults are switched

Cause: the proxy and the fleet need a table, an object store and a list of VMs to build on. Change: three interfaces with typed results; decorators that settle a lost answer by one retry with the same write id and reading back; StoreGate, a token bucket with full-jitter backoff and a slow rise after an outage; fakes with down, slow, answer lost after effect, write held on its way, lagging list. Conclusion: a write that arrives late or loses its answer is counted once; an outcome that others wrote over stays unknown.

--- a/core/src/main/java/org/mimosacleat/core/settings/AddressType.java
+++ b/core/src/main/java/org/mimosacleat/core/settings/AddressType.java
@@ -28,6 +28,13 @@
     }
   }
 
+  /** Writes an address in the form that is read. */
+  public static String format(InetSocketAddress address) {
+    String host = address.getAddress().getHostAddress();
+    String shown = host.contains(":") ? "[" + host + "]" : host;
+    return shown + ":" + address.getPort();
+  }
+
   private static String withoutBrackets(String host) {
     boolean bracketed = host.startsWith("[") && host.endsWith("]");
     return bracketed ? host.substring(1, host.length() - 1) : host;
--- /dev/null
+++ b/core/src/test/java/org/mimosacleat/core/store/StoreGateTest.java
@@ -0,0 +1,90 @@
+package org.mimosacleat.core.store;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.mimosacleat.core.time.PausedClock;
+
+class StoreGateTest {
+  private static final long SEED = 41;
+  private static final StoreLimits LIMITS =
+      new StoreLimits(10, 5, Duration.ofMillis(100), Duration.ofSeconds(8), Duration.ofSeconds(8));
+
+  private final PausedClock clock = new PausedClock();
+  private final StoreGate gate = new StoreGate(LIMITS, clock, new Random(SEED));
+
+  @Test
+  void steadyDemandIsHeldToTheRate() {
+    int admitted = 0;
+    for (int step = 0; step < 10_000; step++) {
+      admitted += admittedNow();
+      clock.advance(Duration.ofMillis(1));
+    }
+
+    assertTrue(admitted > 90 && admitted <= 105, "admitted " + admitted + ", seed " + SEED);
+  }
+
+  @Test
+  void whileDownRequestsGoThroughOneByOne() {
+    gate.admit();
+    gate.failed();
+    Admission.Deferred deferred = assertInstanceOf(Admission.Deferred.class, gate.admit());
+    clock.advance(Duration.between(clock.instant(), deferred.retryAt()));
+
+    assertEquals(1, admittedNow());
+    assertEquals(0, admittedNow());
+    assertTrue(gate.isDown());
+  }
+
+  @Test
+  void waitsAreSpreadOverTheWholeBoundAndNeverPastIt() {
+    Instant earliest = Instant.MAX;
+    Instant latest = Instant.MIN;
+    for (int seed = 0; seed < 200; seed++) {
+      StoreGate other = new StoreGate(LIMITS, clock, new Random(seed));
+      for (int failure = 0; failure < 40; failure++) {
+        other.failed();
+      }
+      Instant retryAt = ((Admission.Deferred) other.admit()).retryAt();
+      earliest = retryAt.isBefore(earliest) ? retryAt : earliest;
+      latest = retryAt.isAfter(latest) ? retryAt : latest;
+    }
+
+    Instant bound = clock.instant().plus(LIMITS.maximumBackoff());
+    assertFalse(latest.isAfter(bound));
+    assertTrue(latest.isAfter(bound.minusSeconds(1)));
+    assertTrue(earliest.isBefore(clock.instant().plusSeconds(1)));
+  }
+
+  @Test
+  void afterAnOutageTheRateRisesSlowly() {
+    gate.failed();
+    gate.succeeded();
+    int firstSecond = admittedDuring(Duration.ofSeconds(1));
+    clock.advance(LIMITS.rampUp());
+    admittedNow();
+    int laterSecond = admittedDuring(Duration.ofSeconds(1));
+
+    assertTrue(firstSecond <= 2, "first second admitted " + firstSecond);
+    assertTrue(laterSecond >= 9, "later second admitted " + laterSecond);
+  }
+
+  private int admittedDuring(Duration duration) {
+    int admitted = 0;
+    for (long step = 0; step < duration.toMillis(); step++) {
+      admitted += admittedNow();
+      clock.advance(Duration.ofMillis(1));
+    }
+    return admitted;
+  }
+
+  private int admittedNow() {
+    return gate.admit() instanceof Admission.Admitted ? 1 : 0;
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/mimosacleat/standin/platform/FakeObjectStore.java
@@ -0,0 +1,89 @@
+package org.mimosacleat.standin.platform;
+
+import io.vavr.collection.TreeMap;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import org.mimosacleat.core.error.ErrorKind;
+import org.mimosacleat.core.error.Failure;
+import org.mimosacleat.platform.object.EntityTag;
+import org.mimosacleat.platform.object.ObjectKey;
+import org.mimosacleat.platform.object.ObjectPut;
+import org.mimosacleat.platform.object.ObjectRead;
+import org.mimosacleat.platform.object.ObjectStore;
+import org.mimosacleat.platform.object.PutResult;
+import org.mimosacleat.platform.object.StoredObject;
+
+/** An object store in memory whose faults are switched by {@link Faults}. */
+public final class FakeObjectStore implements ObjectStore {
+  private final Faults faults;
+  private final AtomicReference<TreeMap<ObjectKey, StoredObject>> objects =
+      new AtomicReference<>(TreeMap.empty());
+
+  /** Starts without objects. */
+  public FakeObjectStore(Faults faults) {
+    this.faults = faults;
+  }
+
+  @Override
+  public Either<Failure, ObjectRead> get(
+      ObjectKey key, Optional<EntityTag> known, Duration timeout) {
+    return answer(faults.read(() -> read(key, known), timeout));
+  }
+
+  @Override
+  public PutResult put(ObjectPut put, Duration timeout) {
+    return faults.write(() -> apply(put), timeout).orElseGet(FakeObjectStore::unknown);
+  }
+
+  @Override
+  public Either<Failure, List<ObjectKey>> list(String prefix, String after, Duration timeout) {
+    return answer(faults.read(() -> keys(prefix, after), timeout));
+  }
+
+  private ObjectRead read(ObjectKey key, Optional<EntityTag> known) {
+    Optional<StoredObject> object = objects.get().get(key).toJavaOptional();
+    if (object.isEmpty()) {
+      return new ObjectRead.Missing();
+    }
+    boolean same = known.isPresent() && known.get().equals(object.get().tag());
+    return same ? new ObjectRead.NotModified() : new ObjectRead.Found(object.get());
+  }
+
+  private PutResult apply(ObjectPut put) {
+    // The tag is quoted as in HTTP; a write id is unique, so it tells contents apart.
+    EntityTag tag = new EntityTag('"' + put.id().value() + '"');
+    StoredObject object = new StoredObject(put.key(), tag, put.id(), put.text());
+    while (true) {
+      TreeMap<ObjectKey, StoredObject> before = objects.get();
+      if (!put.condition().holdsFor(before.get(put.key()).toJavaOptional())) {
+        return new PutResult.ConditionFailed();
+      }
+      if (objects.compareAndSet(before, before.put(put.key(), object))) {
+        return new PutResult.Stored(tag);
+      }
+    }
+  }
+
+  private List<ObjectKey> keys(String prefix, String after) {
+    return objects
+        .get()
+        .keySet()
+        .filter(key -> key.value().startsWith(prefix) && key.value().compareTo(after) > 0)
+        .toJavaList();
+  }
+
+  private static <T> Either<Failure, T> answer(Optional<T> answer) {
+    return answer
+        .<Either<Failure, T>>map(Either::right)
+        .orElseGet(
+            () -> Either.left(new Failure(ErrorKind.UNAVAILABLE, "the objects are not answering")));
+  }
+
+  private static PutResult unknown() {
+    return new PutResult.Unknown(
+        new Failure(ErrorKind.CONNECTION_LOST, "the object store did not answer a put"));
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/mimosacleat/standin/platform/FakeTableService.java
@@ -0,0 +1,91 @@
+package org.mimosacleat.standin.platform;
+
+import io.vavr.collection.TreeMap;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import org.mimosacleat.core.error.ErrorKind;
+import org.mimosacleat.core.error.Failure;
+import org.mimosacleat.platform.table.Row;
+import org.mimosacleat.platform.table.RowKey;
+import org.mimosacleat.platform.table.RowWrite;
+import org.mimosacleat.platform.table.TableService;
+import org.mimosacleat.platform.table.WriteResult;
+
+/** A table service in memory whose faults are switched by {@link Faults}. */
+public final class FakeTableService implements TableService {
+  private final Faults faults;
+  private final AtomicReference<TreeMap<RowKey, Row>> rows = new AtomicReference<>(TreeMap.empty());
+
+  /** Starts without rows. */
+  public FakeTableService(Faults faults) {
+    this.faults = faults;
+  }
+
+  @Override
+  public Either<Failure, Optional<Row>> get(RowKey key, Duration timeout) {
+    return answer(faults.read(() -> rows.get().get(key).toJavaOptional(), timeout));
+  }
+
+  @Override
+  public Either<Failure, List<Row>> list(String kind, Duration timeout) {
+    return answer(faults.read(() -> rowsOf(kind), timeout));
+  }
+
+  @Override
+  public WriteResult write(RowWrite write, Duration timeout) {
+    return transact(List.of(write), timeout);
+  }
+
+  @Override
+  public WriteResult transact(List<RowWrite> writes, Duration timeout) {
+    return faults.write(() -> apply(writes), timeout).orElseGet(FakeTableService::unknown);
+  }
+
+  private List<Row> rowsOf(String kind) {
+    return rows.get().values().filter(row -> row.key().kind().equals(kind)).toJavaList();
+  }
+
+  private WriteResult apply(List<RowWrite> writes) {
+    while (true) {
+      TreeMap<RowKey, Row> before = rows.get();
+      boolean allHold = writes.stream().allMatch(write -> holds(write, before));
+      if (!allHold) {
+        return new WriteResult.ConditionFailed();
+      }
+      TreeMap<RowKey, Row> after = before;
+      for (RowWrite write : writes) {
+        after = applied(write, after);
+      }
+      if (rows.compareAndSet(before, after)) {
+        return new WriteResult.Applied();
+      }
+    }
+  }
+
+  private static boolean holds(RowWrite write, TreeMap<RowKey, Row> rows) {
+    return write.condition().holdsFor(rows.get(write.key()).toJavaOptional());
+  }
+
+  private static TreeMap<RowKey, Row> applied(RowWrite write, TreeMap<RowKey, Row> rows) {
+    return switch (write) {
+      case RowWrite.Put put -> rows.put(put.key(), put.row());
+      case RowWrite.Delete delete -> rows.remove(delete.key());
+      case RowWrite.Check _ -> rows;
+    };
+  }
+
+  private static <T> Either<Failure, T> answer(Optional<T> answer) {
+    return answer
+        .<Either<Failure, T>>map(Either::right)
+        .orElseGet(
+            () -> Either.left(new Failure(ErrorKind.UNAVAILABLE, "the table does not answer")));
+  }
+
+  private static WriteResult unknown() {
+    return new WriteResult.Unknown(
+        new Failure(ErrorKind.CONNECTION_LOST, "the table did not answer a write"));
+  }
+}
--- /dev/null
+++ b/standin/src/test/java/org/mimosacleat/standin/platform/SettlingTest.java
@@ -0,0 +1,151 @@
+package org.mimosacleat.standin.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.mimosacleat.core.time.PausedClock;
+import org.mimosacleat.platform.object.ObjectKey;
+import org.mimosacleat.platform.object.ObjectPut;
+import org.mimosacleat.platform.object.PutCondition;
+import org.mimosacleat.platform.object.PutResult;
+import org.mimosacleat.platform.object.SettlingObjectStore;
+import org.mimosacleat.platform.store.WriteId;
+import org.mimosacleat.platform.table.Attributes;
+import org.mimosacleat.platform.table.Row;
+import org.mimosacleat.platform.table.RowCondition;
+import org.mimosacleat.platform.table.RowKey;
+import org.mimosacleat.platform.table.RowWrite;
+import org.mimosacleat.platform.table.SettlingTableService;
+import org.mimosacleat.platform.table.TableService;
+import org.mimosacleat.platform.table.WriteResult;
+
+class SettlingTest {
+  private static final Duration TIMEOUT = Duration.ofSeconds(2);
+  private static final RowKey LEDGER = new RowKey("ledger", "lending-1");
+
+  private final PausedClock clock = new PausedClock();
+  private final Faults faults = new Faults(clock::advance);
+  private final FakeTableService table = new FakeTableService(faults);
+  private final TableService settling = new SettlingTableService(table, clock);
+
+  @Test
+  void lostAnswerIsSettledAsAppliedAndTheWriteIsNotDoubled() {
+    faults.loseNextAnswers(1);
+
+    WriteResult result = settling.write(create("mine"), TIMEOUT);
+
+    assertTrue(result.isApplied());
+    assertEquals(1, row().version());
+  }
+
+  @Test
+  void lostAnswerOfTheRaceLoserIsSettledAsConditionFailed() {
+    table.write(create("theirs"), TIMEOUT);
+    faults.loseNextAnswers(1);
+
+    assertInstanceOf(WriteResult.ConditionFailed.class, settling.write(create("mine"), TIMEOUT));
+    assertEquals(new WriteId("theirs"), row().writer());
+  }
+
+  @Test
+  void writeThatArrivesLateTakesEffectOnce() {
+    faults.holdNextWrites(1);
+
+    WriteResult result = settling.write(create("mine"), TIMEOUT);
+    faults.releaseHeld();
+
+    assertTrue(result.isApplied());
+    assertEquals(1, row().version());
+  }
+
+  @Test
+  void outcomeThatOthersWroteOverStaysUnknown() {
+    Row first = created();
+    RowWrite.Put mine = change(first, "mine");
+    faults.loseNextAnswers(1);
+    table.write(mine, TIMEOUT);
+    table.write(change(mine.row(), "theirs"), TIMEOUT);
+    faults.loseNextAnswers(1);
+
+    assertInstanceOf(WriteResult.Unknown.class, settling.write(mine, TIMEOUT));
+  }
+
+  @Test
+  void lostAnswerOfWholeTransactionIsSettled() {
+    Row first = created();
+    RowKey other = new RowKey("ledger", "lending-2");
+    RowWrite.Put second =
+        new RowWrite.Put(other, new RowCondition.Absent(), new WriteId("mine-2"), Attributes.NONE);
+    faults.loseNextAnswers(1);
+
+    WriteResult result = settling.transact(List.of(change(first, "mine"), second), TIMEOUT);
+
+    assertTrue(result.isApplied());
+    assertEquals(2, row().version());
+    assertTrue(table.get(other, TIMEOUT).get().isPresent());
+  }
+
+  @Test
+  void failedConditionOfOneRowLeavesTheOthersAsTheyWere() {
+    Row first = created();
+    RowWrite.Check check = new RowWrite.Check(new RowKey("lease", "lending-1"), first.unchanged());
+
+    WriteResult result = settling.transact(List.of(change(first, "mine"), check), TIMEOUT);
+
+    assertInstanceOf(WriteResult.ConditionFailed.class, result);
+    assertEquals(1, row().version());
+  }
+
+  @Test
+  void storeSlowerThanTheTimeoutEndsTheCallByThen() {
+    faults.setDelay(Duration.ofMinutes(1));
+    var start = clock.instant();
+
+    assertInstanceOf(WriteResult.Unknown.class, settling.write(create("mine"), TIMEOUT));
+    assertEquals(start.plus(TIMEOUT), clock.instant());
+  }
+
+  @Test
+  void lostAnswerOfAnObjectPutIsSettled() {
+    FakeObjectStore objects = new FakeObjectStore(faults);
+    SettlingObjectStore settled = new SettlingObjectStore(objects, clock);
+    ObjectKey key = new ObjectKey("lists/plans/00000001");
+    faults.loseNextAnswers(1);
+
+    PutResult mine = settled.put(put(key, "mine"), TIMEOUT);
+    faults.loseNextAnswers(1);
+    PutResult theirs = settled.put(put(key, "theirs"), TIMEOUT);
+
+    assertInstanceOf(PutResult.Stored.class, mine);
+    assertInstanceOf(PutResult.ConditionFailed.class, theirs);
+  }
+
+  private static ObjectPut put(ObjectKey key, String id) {
+    return new ObjectPut(key, new PutCondition.Absent(), new WriteId(id), id);
+  }
+
+  private Row created() {
+    table.write(create("first"), TIMEOUT);
+    return row();
+  }
+
+  private Row row() {
+    Optional<Row> row = table.get(LEDGER, TIMEOUT).get();
+    return row.orElseThrow();
+  }
+
+  private static RowWrite.Put create(String id) {
+    return new RowWrite.Put(
+        LEDGER, new RowCondition.Absent(), new WriteId(id), Attributes.NONE.with("spent", 1));
+  }
+
+  private static RowWrite.Put change(Row row, String id) {
+    return new RowWrite.Put(
+        row.key(), row.unchanged(), new WriteId(id), Attributes.NONE.with("spent", 2));
+  }
+}
