--- /dev/null
+++ b/core/src/test/java/org/mimosacleat/core/acknowledgement/PrimaryOnlyTracker.java
@@ -0,0 +1,29 @@
+package org.mimosacleat.core.acknowledgement;
+
+import io.vavr.control.Either;
+import java.time.Instant;
+import java.util.concurrent.CompletableFuture;
+import org.mimosacleat.core.error.Failure;
+import org.mimosacleat.core.position.Position;
+
+/** A wrong tracker: it acknowledges what the primary alone holds. The oracles have to catch it. */
+final class PrimaryOnlyTracker implements AcknowledgementTracker {
+  @Override
+  public CompletableFuture<Either<Failure, Position>> await(Position commit, Instant deadline) {
+    return CompletableFuture.completedFuture(Either.right(commit));
+  }
+
+  @Override
+  public void answered(PollAnswer answer) {}
+
+  @Override
+  public void termStarted(Reign reign) {}
+
+  @Override
+  public void tick() {}
+
+  @Override
+  public Instant provenAt() {
+    return Instant.MIN;
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/mimosacleat/core/acknowledgement/WriteOracle.java
@@ -0,0 +1,146 @@
+package org.mimosacleat.core.acknowledgement;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import org.mimosacleat.core.id.EndpointId;
+import org.mimosacleat.core.position.LogPosition;
+import org.mimosacleat.core.position.Position;
+import org.mimosacleat.core.position.Term;
+import org.mimosacleat.core.time.PausedClock;
+
+/**
+ * Drives a tracker at a home that is cut off from a promotion elsewhere: random writes,
+ * replication, late and crossed poll answers, fences. Counts lost and late acknowledgements.
+ */
+final class WriteOracle {
+  static final List<EndpointId> MEMBERS =
+      List.of(new EndpointId("a"), new EndpointId("b"), new EndpointId("c"));
+  static final Reign REIGN = new Reign(Term.FIRST, MEMBERS.getFirst(), Set.copyOf(MEMBERS));
+
+  static final Duration PROOF_LIFETIME = Duration.ofMillis(20);
+
+  private static final int ROUNDS = 200;
+
+  private final Random random;
+  private final PausedClock clock;
+  private final AcknowledgementTracker tracker;
+  private final long[] received = new long[MEMBERS.size()];
+  private final boolean[] fenced = new boolean[MEMBERS.size()];
+  private final List<PollAnswer> inFlight = new ArrayList<>();
+  private long highestAcknowledged;
+  private long fork = Long.MAX_VALUE;
+  private Instant promotedAt = Instant.MAX;
+  private boolean leaseHeld = true;
+  private int acknowledged;
+  private int acknowledgedLate;
+
+  WriteOracle(long seed, PausedClock clock, TrackerFactory factory) {
+    this.random = new Random(seed);
+    this.clock = clock;
+    this.tracker = factory.make(clock, () -> leaseHeld);
+  }
+
+  void run() {
+    for (int round = 0; round < ROUNDS; round++) {
+      clock.advance(Duration.ofMillis(random.nextInt(3)));
+      int endpoint = random.nextInt(MEMBERS.size());
+      switch (random.nextInt(6)) {
+        case 0 -> write();
+        case 1, 2 -> replicate(endpoint);
+        case 3 -> inFlight.add(poll(endpoint));
+        case 4 -> deliver();
+        default -> loseSight(endpoint);
+      }
+    }
+  }
+
+  int acknowledged() {
+    return acknowledged;
+  }
+
+  int acknowledgedLate() {
+    return acknowledgedLate;
+  }
+
+  boolean lostAcknowledged() {
+    return highestAcknowledged > fork;
+  }
+
+  /** A fenced primary neither writes nor sends log. */
+  private void write() {
+    if (fenced[0]) {
+      return;
+    }
+    received[0] += 10;
+    long log = received[0];
+    Position commit = new Position(Term.FIRST, new LogPosition(log));
+    tracker
+        .await(commit, clock.instant().plusSeconds(60))
+        .thenAccept(result -> result.forEach(position -> onAcknowledged(log)));
+  }
+
+  private void onAcknowledged(long log) {
+    acknowledged++;
+    highestAcknowledged = Math.max(highestAcknowledged, log);
+    if (isReplaced()) {
+      acknowledgedLate++;
+    }
+  }
+
+  private void replicate(int endpoint) {
+    if (!fenced[endpoint] && !fenced[0]) {
+      received[endpoint] += random.nextLong(received[0] - received[endpoint] + 1);
+    }
+  }
+
+  private PollAnswer poll(int endpoint) {
+    Position position = new Position(Term.FIRST, new LogPosition(received[endpoint]));
+    Term fence = fenced[endpoint] ? Term.FIRST.next() : Term.FIRST;
+    return new PollAnswer(MEMBERS.get(endpoint), position, position, fence, clock.instant());
+  }
+
+  private void deliver() {
+    if (!inFlight.isEmpty()) {
+      tracker.answered(inFlight.remove(random.nextInt(inFlight.size())));
+    }
+  }
+
+  /** First the lease lapses; then the new home fences a majority, waits and promotes. */
+  private void loseSight(int endpoint) {
+    if (random.nextInt(8) > 0 || fork != Long.MAX_VALUE) {
+      return;
+    }
+    if (leaseHeld) {
+      leaseHeld = false;
+      return;
+    }
+    fenced[endpoint] = true;
+    long count = MEMBERS.stream().filter(member -> fenced[MEMBERS.indexOf(member)]).count();
+    if (count >= REIGN.majority()) {
+      fork = mostAdvancedFenced();
+      promotedAt = clock.instant().plus(PROOF_LIFETIME);
+    }
+  }
+
+  private long mostAdvancedFenced() {
+    long[] positions = new long[MEMBERS.size()];
+    for (int index = 0; index < positions.length; index++) {
+      positions[index] = fenced[index] ? received[index] : 0;
+    }
+    return Arrays.stream(positions).max().orElseThrow();
+  }
+
+  private boolean isReplaced() {
+    return !clock.instant().isBefore(promotedAt);
+  }
+
+  /** Makes the tracker under test. */
+  interface TrackerFactory {
+    AcknowledgementTracker make(PausedClock clock, LeaseStatus lease);
+  }
+}
