--- /dev/null
+++ b/core/src/test/java/org/mimosacleat/core/admission/FairClockTest.java
@@ -0,0 +1,81 @@
+package org.mimosacleat.core.admission;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+import org.junit.jupiter.api.Test;
+import org.mimosacleat.core.id.CustomerId;
+
+class FairClockTest {
+  private static final CustomerId HEAVY = new CustomerId("heavy");
+  private static final CustomerId LIGHT = new CustomerId("light");
+
+  private final FairClock clock = new FairClock();
+  private final PriorityQueue<Entry> queue =
+      new PriorityQueue<>(Comparator.comparingDouble(Entry::tag));
+
+  private record Entry(CustomerId customer, double tag) {}
+
+  private void enqueue(CustomerId customer, double weight) {
+    queue.add(new Entry(customer, clock.enqueue(customer, weight, 1)));
+  }
+
+  private Entry serve() {
+    Entry entry = queue.remove();
+    clock.started(entry.customer(), 1, entry.tag());
+    return entry;
+  }
+
+  @Test
+  void customersWithWorkWaitingAreServedByWeight() {
+    for (int index = 0; index < 1000; index++) {
+      enqueue(HEAVY, 1);
+      enqueue(LIGHT, 3);
+    }
+    long light = 0;
+    for (int index = 0; index < 400; index++) {
+      light += serve().customer().equals(LIGHT) ? 1 : 0;
+    }
+
+    assertEquals(300, light, 2);
+  }
+
+  @Test
+  void customerThatKeepsItsQueueShortGainsNothing() {
+    for (int index = 0; index < 1000; index++) {
+      enqueue(HEAVY, 1);
+    }
+    enqueue(LIGHT, 1);
+    long light = 0;
+    for (int index = 0; index < 400; index++) {
+      boolean served = serve().customer().equals(LIGHT);
+      light += served ? 1 : 0;
+      if (served) {
+        enqueue(LIGHT, 1);
+      }
+    }
+
+    assertEquals(200, light, 2);
+  }
+
+  @Test
+  void idleCustomerSavesNoCreditForLater() {
+    enqueue(LIGHT, 1);
+    serve();
+    for (int index = 0; index < 100; index++) {
+      enqueue(HEAVY, 1);
+      serve();
+    }
+    for (int index = 0; index < 10; index++) {
+      enqueue(HEAVY, 1);
+      enqueue(LIGHT, 1);
+    }
+    long light = 0;
+    for (int index = 0; index < 10; index++) {
+      light += serve().customer().equals(LIGHT) ? 1 : 0;
+    }
+
+    assertEquals(5, light, 1);
+  }
+}
