Decide who is the home of a group: placement and lease

Cause: each group needs one home that may be lost, paused or cut off, and a row per group renewed every few seconds is beyond the table service at 7,100 groups.

--- /dev/null
+++ b/core/src/test/java/org/mimosacleat/core/placement/PlacementTableTest.java
@@ -0,0 +1,171 @@
+package org.mimosacleat.core.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import org.mimosacleat.core.id.AvailabilityZone;
+import org.mimosacleat.core.id.GroupId;
+import org.mimosacleat.core.id.VmId;
+
+class PlacementTableTest {
+  private static final int ZONES = 4;
+
+  @Test
+  void candidatesAreInDifferentZones() {
+    PlacementTable table = table(30).withMembers(members(14));
+
+    for (GroupId group : table.groups()) {
+      List<VmId> candidates = table.candidates(group);
+      Set<Integer> zones = new HashSet<>();
+      candidates.forEach(vm -> zones.add(zoneIndex(vm)));
+      assertEquals(ZONES, candidates.size());
+      assertEquals(ZONES, zones.size());
+    }
+  }
+
+  @Test
+  void threeGroupsOnFourteenMembersHaveThreeHomes() {
+    for (int run = 0; run < 50; run++) {
+      String prefix = "run" + run + "-";
+      PlacementTable table =
+          PlacementTable.of(
+                  IntStream.range(0, 3)
+                      .mapToObj(index -> new PlacedGroup(new GroupId(prefix + index)))
+                      .toList())
+              .withMembers(members(14));
+      Set<VmId> homes = new HashSet<>();
+      table.groups().forEach(group -> homes.add(table.preferred(group).orElseThrow()));
+      assertEquals(3, homes.size(), prefix);
+    }
+  }
+
+  @Test
+  void groupStaysInItsZones() {
+    AvailabilityZone only = zone(2);
+    PlacedGroup group = new PlacedGroup(new GroupId("g"), Set.of(only));
+    PlacementTable table = PlacementTable.of(List.of(group)).withMembers(members(12));
+
+    assertEquals(1, table.candidates(group.group()).size());
+    assertEquals(2, zoneIndex(table.preferred(group.group()).orElseThrow()));
+  }
+
+  @Test
+  void memberOfWeightThreeWinsThreeTimesAsOften() {
+    List<Member> members = new ArrayList<>(members(8));
+    members.set(0, new Member(members.get(0).vm(), members.get(0).zone(), 3));
+    PlacementTable table = table(5_000).withMembers(members);
+
+    long heavy = homes(table, members.get(0).vm());
+    long light = homes(table, members.get(1).vm());
+    assertTrue(heavy > 2 * light, heavy + " against " + light);
+  }
+
+  @Property(tries = 40, seed = "71")
+  void tableAfterChangesEqualsTableBuiltAtOnce(
+      @ForAll @IntRange(min = 1, max = 40) int first,
+      @ForAll @IntRange(min = 0, max = 40) int second) {
+    PlacementTable changed = table(60).withMembers(members(first)).withMembers(members(second));
+    PlacementTable fresh = table(60).withMembers(members(second));
+
+    fresh.groups().forEach(g -> assertEquals(fresh.candidates(g), changed.candidates(g)));
+  }
+
+  @Property(tries = 20, seed = "72")
+  void leaveMovesLittleMoreThanTheGroupsOfTheMemberThatLeft(
+      @ForAll @IntRange(min = 0, max = 39) int leaving) {
+    List<Member> before = members(40);
+    List<Member> after = new ArrayList<>(before);
+    Member left = after.remove(leaving);
+    PlacementTable first = table(800).withMembers(before);
+
+    long mustMove = homes(first, left.vm());
+    assertTrue(moved(first, first.withMembers(after)) <= 2 * mustMove + 8);
+    assertTrue(modulusMoved(before, after) > 2 * mustMove + 8, "a modulus moves nearly all");
+  }
+
+  @Test
+  void homeMovesOnlyAfterTheMembersSettled() {
+    PlacementTable table = table(1).withMembers(members(8));
+    GroupId group = table.groups().getFirst();
+    VmId preferred = table.preferred(group).orElseThrow();
+    VmId other = table.candidates(group).get(1);
+    HomePolicy policy = new HomePolicy(other, Duration.ofSeconds(30));
+
+    HomeIntent early =
+        policy.decide(group, Optional.of(other), true, true, table, Duration.ofSeconds(29));
+    HomeIntent late =
+        policy.decide(group, Optional.of(other), true, true, table, Duration.ofSeconds(30));
+    HomeIntent restarted =
+        policy.decide(group, Optional.of(other), false, true, table, Duration.ZERO);
+
+    assertEquals(new HomeIntent.Stay(), early);
+    assertEquals(new HomeIntent.HandOver(preferred), late);
+    assertTrue(restarted instanceof HomeIntent.Acquire);
+  }
+
+  @Test
+  void unknownGroupIsNamed() {
+    IllegalArgumentException error =
+        assertThrows(
+            IllegalArgumentException.class, () -> table(1).candidates(new GroupId("nowhere")));
+
+    assertTrue(error.getMessage().contains("nowhere"));
+    assertNotEquals(0, table(1).groups().size());
+  }
+
+  private static long moved(PlacementTable before, PlacementTable after) {
+    return before.groups().stream()
+        .filter(group -> !before.preferred(group).equals(after.preferred(group)))
+        .count();
+  }
+
+  private static long modulusMoved(List<Member> before, List<Member> after) {
+    return table(800).groups().stream()
+        .filter(group -> !modulus(group, before).equals(modulus(group, after)))
+        .count();
+  }
+
+  private static VmId modulus(GroupId group, List<Member> members) {
+    return members.get(Math.floorMod(group.hashCode(), members.size())).vm();
+  }
+
+  private static long homes(PlacementTable table, VmId vm) {
+    return table.groups().stream()
+        .filter(group -> table.preferred(group).orElseThrow().equals(vm))
+        .count();
+  }
+
+  private static PlacementTable table(int groups) {
+    return PlacementTable.of(
+        IntStream.range(0, groups)
+            .mapToObj(index -> new PlacedGroup(new GroupId("group-" + index)))
+            .toList());
+  }
+
+  private static List<Member> members(int count) {
+    return IntStream.range(0, count)
+        .mapToObj(index -> new Member(new VmId("vm-" + index), zone(index % ZONES)))
+        .toList();
+  }
+
+  private static AvailabilityZone zone(int index) {
+    return new AvailabilityZone("zone-" + index);
+  }
+
+  private static int zoneIndex(VmId vm) {
+    return Integer.parseInt(vm.value().substring("vm-".length())) % ZONES;
+  }
+}
