Stand in for a PostgreSQL instance and its group

The path from a driver to a primary and its replicas needs database instances that can be killed, cut off and frozen on purpose.

GroupStandin replicates the log asynchronously with lags by the given clock; terms are timelines, and a fence refuses earlier ones. The administrative statements stand once, in EndpointStatements.

--- /dev/null
+++ b/standin/src/main/java/org/mimosacleat/standin/endpoint/DelayModel.java
@@ -0,0 +1,32 @@
+package org.mimosacleat.standin.endpoint;
+
+import java.time.Duration;
+import java.util.random.RandomGenerator;
+
+/** How long something takes. */
+public sealed interface DelayModel {
+  /** No time at all. */
+  DelayModel NONE = new Constant(Duration.ZERO);
+
+  /** Always the same time. */
+  record Constant(Duration delay) implements DelayModel {}
+
+  /**
+   * A log-normal distribution.
+   *
+   * @param median the median
+   * @param sigma the standard deviation of the logarithm
+   */
+  record LogNormal(Duration median, double sigma) implements DelayModel {}
+
+  /** Draws one delay. */
+  default Duration draw(RandomGenerator random) {
+    return switch (this) {
+      case Constant constant -> constant.delay();
+      case LogNormal distribution -> {
+        double factor = Math.exp(distribution.sigma() * random.nextGaussian());
+        yield Duration.ofNanos((long) (distribution.median().toNanos() * factor));
+      }
+    };
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/mimosacleat/standin/endpoint/ResultFrames.java
@@ -0,0 +1,61 @@
+package org.mimosacleat.standin.endpoint;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.mimosacleat.wire.postgres.BackendType;
+import org.mimosacleat.wire.postgres.BodyBuilder;
+import org.mimosacleat.wire.postgres.Frame;
+
+/** Builds the frames of results. */
+final class ResultFrames {
+  private static final int TEXT_FORMAT = 0;
+  private static final int BINARY_FORMAT = 1;
+  private static final int NULL_LENGTH = -1;
+  private static final int NO_MODIFIER = -1;
+
+  private ResultFrames() {}
+
+  static Frame columns(List<Column> columns, List<Integer> formats) {
+    BodyBuilder body = new BodyBuilder().shortInteger(columns.size());
+    for (int index = 0; index < columns.size(); index++) {
+      Column column = columns.get(index);
+      body.string(column.name())
+          .integer(0)
+          .shortInteger(0)
+          .integer(column.type().objectId())
+          .shortInteger(column.type().size())
+          .integer(NO_MODIFIER)
+          .shortInteger(format(column, formats, index));
+    }
+    return body.frame(BackendType.ROW_DESCRIPTION);
+  }
+
+  static Frame row(List<Column> columns, List<String> values, List<Integer> formats) {
+    BodyBuilder body = new BodyBuilder().shortInteger(values.size());
+    for (int index = 0; index < values.size(); index++) {
+      if (values.get(index) == null) {
+        body.integer(NULL_LENGTH);
+        continue;
+      }
+      byte[] bytes = encode(columns.get(index), values.get(index), formats, index);
+      body.integer(bytes.length).bytes(bytes);
+    }
+    return body.frame(BackendType.DATA_ROW);
+  }
+
+  private static byte[] encode(Column column, String value, List<Integer> formats, int index) {
+    if (format(column, formats, index) == BINARY_FORMAT) {
+      return ByteBuffer.allocate(Long.BYTES).putLong(Long.parseLong(value.trim())).array();
+    }
+    return value.getBytes(StandardCharsets.UTF_8);
+  }
+
+  /** Text has the same bytes in both formats, so only integers are ever sent in binary. */
+  private static int format(Column column, List<Integer> formats, int index) {
+    if (formats.isEmpty() || column.type() != ColumnType.INTEGER) {
+      return TEXT_FORMAT;
+    }
+    return formats.size() == 1 ? formats.getFirst() : formats.get(index);
+  }
+}
--- /dev/null
+++ b/standin/src/test/java/org/mimosacleat/standin/endpoint/GroupStandinTest.java
@@ -0,0 +1,161 @@
+package org.mimosacleat.standin.endpoint;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.sql.Connection;
+import java.sql.SQLException;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.mimosacleat.core.id.AvailabilityZone;
+import org.mimosacleat.core.id.GroupId;
+import org.mimosacleat.core.position.Term;
+import org.mimosacleat.core.time.PausedClock;
+import org.mimosacleat.wire.postgres.admin.EndpointStatements;
+
+@Timeout(30)
+class GroupStandinTest {
+  private static final long SEED = 12;
+  private static final Duration RECEIVE_LAG = Duration.ofMillis(40);
+  private static final Duration REPLAY_LAG = Duration.ofMillis(60);
+  private static final String COUNT = "SELECT count(*) FROM reading";
+
+  private final PausedClock clock = new PausedClock();
+  private final GroupStandin group =
+      new GroupStandin(
+          new GroupId("lending"),
+          List.of(
+              new AvailabilityZone("tamaki"),
+              new AvailabilityZone("kirikiriroa"),
+              new AvailabilityZone("te-whanganui")),
+          EndpointSettings.defaults()
+              .withConnectDelay(Duration.ZERO)
+              .withLag(new DelayModel.Constant(RECEIVE_LAG), new DelayModel.Constant(REPLAY_LAG)),
+          clock,
+          new SplittableRandom(SEED));
+
+  private Connection first;
+  private Connection second;
+  private Connection third;
+
+  @BeforeEach
+  void open() throws SQLException {
+    group.start();
+    first = Driver.connect(group.endpoints().get(0));
+    second = Driver.connect(group.endpoints().get(1));
+    third = Driver.connect(group.endpoints().get(2));
+    Driver.execute(first, "CREATE TABLE reading (id text PRIMARY KEY)");
+    letReplicasCatchUp(second, third);
+  }
+
+  @AfterEach
+  void close() {
+    group.close();
+  }
+
+  @Test
+  void replicaReceivesThenReplaysEachAfterItsLag() throws SQLException {
+    Driver.execute(first, "INSERT INTO reading VALUES ('a')");
+    String written = Driver.row(first, EndpointStatements.CURRENT_POSITION).getFirst();
+    String before = Driver.row(second, EndpointStatements.STATUS).get(2);
+
+    clock.advance(RECEIVE_LAG);
+    Driver.await(second, EndpointStatements.STATUS, status("t", written, before, "1", null));
+    assertEquals(List.of("0"), Driver.row(second, COUNT));
+    clock.advance(REPLAY_LAG);
+    Driver.await(second, EndpointStatements.STATUS, status("t", written, written, "1", null));
+    assertEquals(List.of("1"), Driver.row(second, COUNT));
+  }
+
+  @Test
+  void replicaRefusesWrites() {
+    assertState("25006", second, "INSERT INTO reading VALUES ('x')");
+  }
+
+  @Test
+  void fencedPrimaryRefusesToCommitAndTheFenceNeverGoesDown() throws SQLException {
+    first.setAutoCommit(false);
+    Driver.execute(first, "INSERT INTO reading VALUES ('open')");
+    try (Connection admin = Driver.connect(group.endpoints().getFirst())) {
+      Driver.execute(admin, EndpointStatements.fence(new Term(2)));
+      assertState("22023", admin, EndpointStatements.fence(new Term(1)));
+      assertEquals(List.of("2"), Driver.row(admin, "SHOW mimosacleat.fence_term"));
+      assertEquals("25006", assertThrows(SQLException.class, first::commit).getSQLState());
+      assertEquals(List.of("0"), Driver.row(admin, COUNT));
+    }
+  }
+
+  @Test
+  void fencedReplicaReceivesNothingOfEarlierTerms() throws SQLException {
+    Driver.execute(second, EndpointStatements.fence(new Term(2)));
+    Driver.execute(first, "INSERT INTO reading VALUES ('late')");
+    letReplicasCatchUp(third);
+    assertEquals(List.of("0"), Driver.row(second, COUNT));
+  }
+
+  @Test
+  void promotedReplicaLeadsTheNextTimelineAndTheOldPrimaryDropsItsFork() throws SQLException {
+    group.endpoints().getFirst().cutFromGroup();
+    Driver.execute(first, "INSERT INTO reading VALUES ('lost')");
+    Driver.execute(second, EndpointStatements.fence(new Term(2)));
+    Driver.execute(third, EndpointStatements.fence(new Term(2)));
+    Driver.row(second, EndpointStatements.PROMOTE);
+    assertEquals(List.of("2"), Driver.row(second, EndpointStatements.TIMELINE));
+    Driver.execute(second, "INSERT INTO reading VALUES ('kept')");
+    assertEquals(List.of("lost"), Driver.row(first, "SELECT id FROM reading"));
+
+    group.endpoints().getFirst().heal();
+    int port = group.endpoints().get(1).address().getPort();
+    for (Connection follower : List.of(first, third)) {
+      Driver.execute(follower, EndpointStatements.receiveFrom("127.0.0.1", port));
+      Driver.row(follower, EndpointStatements.RELOAD);
+    }
+    letReplicasCatchUpWith(second, first, third);
+    assertEquals(List.of("kept"), Driver.row(first, "SELECT id FROM reading"));
+    assertEquals(List.of("kept"), Driver.row(third, "SELECT id FROM reading"));
+    assertState("25006", first, "DELETE FROM reading");
+    assertEquals(group.endpoints().get(1), group.primary());
+  }
+
+  @Test
+  void replicaAheadOfItsUpstreamInOneTermKeepsItsLog() throws SQLException {
+    group.endpoints().get(2).cutFromGroup();
+    Driver.execute(first, "INSERT INTO reading VALUES ('acknowledged')");
+    letReplicasCatchUp(second);
+    int port = group.endpoints().get(2).address().getPort();
+    Driver.execute(second, EndpointStatements.receiveFrom("127.0.0.1", port));
+    Driver.row(second, EndpointStatements.RELOAD);
+    group.endpoints().get(2).heal();
+    letReplicasCatchUp(third);
+    assertEquals(List.of("acknowledged"), Driver.row(second, "SELECT id FROM reading"));
+  }
+
+  private void letReplicasCatchUp(Connection... replicas) throws SQLException {
+    letReplicasCatchUpWith(first, replicas);
+  }
+
+  private void letReplicasCatchUpWith(Connection primary, Connection... replicas)
+      throws SQLException {
+    List<String> position = Driver.row(primary, EndpointStatements.CURRENT_POSITION);
+    for (Connection replica : replicas) {
+      while (!Driver.row(replica, "SELECT pg_last_wal_replay_lsn()").equals(position)) {
+        clock.advance(Duration.ofMillis(1));
+      }
+    }
+  }
+
+  private static List<String> status(String... values) {
+    return Arrays.asList(values);
+  }
+
+  private static void assertState(String expected, Connection connection, String sql) {
+    SQLException error = assertThrows(SQLException.class, () -> Driver.execute(connection, sql));
+    assertEquals(expected, error.getSQLState());
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/org/mimosacleat/wire/postgres/admin/package-info.java
@@ -0,0 +1,2 @@
+/** The administrative statements that proxies send to endpoints. */
+package org.mimosacleat.wire.postgres.admin;
