Version the operators' lists and publish them by one transaction

Cause: an accepted edit must be in force everywhere and never revert, and editors race. Change: plans and allowances as typed lists with whole-list and cross-list checks, a registry by read-copy-update whose versions never go down, diff, one-line edits, and a publisher: text as a new object, then a transaction that creates the version's row, moves the head and checks the other list's head. Rows of versions never change, so a lost answer is always settled. Conclusion: the loser learns the winner and keeps the text.

--- /dev/null
+++ b/core/src/main/java/org/mimosacleat/core/lists/ListChange.java
@@ -0,0 +1,36 @@
+package org.mimosacleat.core.lists;
+
+import java.util.Optional;
+import org.mimosacleat.core.check.Checks;
+
+/**
+ * One difference between two texts of a list.
+ *
+ * @param section the section's header
+ * @param key the key; empty when a section without keys appears or goes
+ * @param before the value in the first text, empty if it has none
+ * @param after the value in the second text, empty if it has none
+ */
+public record ListChange(
+    String section, String key, Optional<String> before, Optional<String> after) {
+  /** Checks the parts. */
+  public ListChange {
+    Checks.notNull("section", section);
+    Checks.notNull("key", key);
+    Checks.notNull("value before", before);
+    Checks.notNull("value after", after);
+  }
+
+  /** Returns the change as one line. */
+  @Override
+  public String toString() {
+    return "["
+        + section
+        + "] "
+        + key
+        + ": "
+        + before.orElse("(absent)")
+        + " -> "
+        + after.orElse("(absent)");
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mimosacleat/core/lists/ListDiff.java
@@ -0,0 +1,67 @@
+package org.mimosacleat.core.lists;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.mimosacleat.core.settings.IniEntry;
+import org.mimosacleat.core.settings.IniSection;
+import org.mimosacleat.core.settings.IniText;
+
+/** Compares two texts of a list by sections and keys; comments and order do not count. */
+public final class ListDiff {
+  private static final String VERIFIER_KEY = "scram-verifier";
+
+  private ListDiff() {}
+
+  /** Returns the differences in the order of sections and keys; verifiers are not shown. */
+  public static List<ListChange> between(String before, String after) {
+    Map<String, Map<String, String>> first = values(before);
+    Map<String, Map<String, String>> second = values(after);
+    Set<String> headers = new LinkedHashSet<>(first.keySet());
+    headers.addAll(second.keySet());
+    List<ListChange> changes = new ArrayList<>();
+    for (String header : headers.stream().sorted().toList()) {
+      compare(header, first.get(header), second.get(header), changes);
+    }
+    return changes;
+  }
+
+  private static void compare(
+      String header,
+      Map<String, String> before,
+      Map<String, String> after,
+      List<ListChange> changes) {
+    Map<String, String> first = before == null ? Map.of() : before;
+    Map<String, String> second = after == null ? Map.of() : after;
+    Set<String> keys = new LinkedHashSet<>(first.keySet());
+    keys.addAll(second.keySet());
+    for (String key : keys.stream().sorted().toList()) {
+      if (!Objects.equals(first.get(key), second.get(key))) {
+        changes.add(
+            new ListChange(header, key, shown(key, first.get(key)), shown(key, second.get(key))));
+      }
+    }
+  }
+
+  private static Optional<String> shown(String key, String value) {
+    boolean hidden = value != null && key.equals(VERIFIER_KEY);
+    return hidden ? Optional.of("(hidden)") : Optional.ofNullable(value);
+  }
+
+  private static Map<String, Map<String, String>> values(String text) {
+    Map<String, Map<String, String>> values = new TreeMap<>();
+    for (IniSection section : IniText.parse(text).sections()) {
+      Map<String, String> entries = new TreeMap<>();
+      for (IniEntry entry : section.entries()) {
+        entries.put(entry.key(), entry.value());
+      }
+      values.put(section.header(), entries);
+    }
+    return values;
+  }
+}
--- a/core/src/main/java/org/mimosacleat/core/settings/ValueType.java
+++ b/core/src/main/java/org/mimosacleat/core/settings/ValueType.java
@@ -16,6 +16,7 @@
         InstantType,
         ListType,
         OptionalType,
+        SecretPatternType,
         SecretType,
         TextType,
         UriType,
--- /dev/null
+++ b/core/src/test/java/org/mimosacleat/core/lists/ListRegistryTest.java
@@ -0,0 +1,118 @@
+package org.mimosacleat.core.lists;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Queue;
+import java.util.Random;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.junit.jupiter.api.Test;
+import org.mimosacleat.core.id.CustomerId;
+import org.mimosacleat.core.id.PlanName;
+
+class ListRegistryTest {
+  private static final long SEED = 136;
+  private static final CustomerId BOOKINGS = new CustomerId("bookings");
+
+  private final ListRegistry registry = new ListRegistry();
+
+  @Test
+  void versionNeverGoesDownWhateverTheOrderOfArrivals() {
+    List<PublishedList> arrivals = new ArrayList<>();
+    for (int version = 1; version <= 200; version++) {
+      PublishedList list = plans(version, "[customer bookings]\nplan = p" + version + "\n");
+      arrivals.addAll(List.of(list, list, list));
+    }
+    Collections.shuffle(arrivals, new Random(SEED));
+    Queue<Adoption> adoptions = new ConcurrentLinkedQueue<>();
+    try (ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor()) {
+      arrivals.forEach(list -> executor.submit(() -> adoptions.add(registry.offer(list))));
+    }
+
+    assertEquals(arrivals.size(), adoptions.size());
+    assertEquals(200, registry.inForce().version(ListKind.PLANS).number(), "seed " + SEED);
+    List<Adoption.Adopted> adopted =
+        adoptions.stream()
+            .filter(Adoption.Adopted.class::isInstance)
+            .map(Adoption.Adopted.class::cast)
+            .sorted(Comparator.comparing(done -> done.list().version()))
+            .toList();
+    ListVersion inForce = ListVersion.NONE;
+    for (Adoption.Adopted done : adopted) {
+      assertEquals(inForce, done.replaced(), "seed " + SEED);
+      inForce = done.list().version();
+    }
+  }
+
+  @Test
+  void malformedVersionLeavesTheOneInForce() {
+    registry.offer(plans(1, "[customer bookings]\nplan = gold\n"));
+    ListsInForce before = registry.inForce();
+
+    Adoption adoption = registry.offer(plans(2, "[customer bookings]\nplam = gold\n"));
+
+    assertInstanceOf(Adoption.Refused.class, adoption);
+    assertSame(before, registry.inForce());
+  }
+
+  @Test
+  void anotherTextUnderTheSameNumberIsReported() {
+    registry.offer(plans(1, "[customer bookings]\nplan = gold\n"));
+    PublishedList other =
+        new PublishedList(ListKind.PLANS, new ListVersion(1), "other", "b", Instant.EPOCH, "", "");
+
+    assertInstanceOf(Adoption.Conflicting.class, registry.offer(other));
+    assertInstanceOf(Adoption.NotNewer.class, registry.offer(plans(1, "")));
+  }
+
+  @Test
+  void customerKeepsItsAllowanceWhileItsNewPlanIsOnItsWay() {
+    registry.offer(allowances(1, "gold"));
+    registry.offer(plans(1, "[customer bookings]\nplan = gold\n"));
+    registry.offer(plans(2, "[customer bookings]\nplan = amber\n"));
+
+    assertEquals(new PlanName("gold"), planOfBookings());
+    registry.offer(allowances(2, "amber"));
+    assertEquals(new PlanName("amber"), planOfBookings());
+  }
+
+  @Test
+  void customerThatWasRemovedHasNoAllowance() {
+    registry.offer(allowances(1, "gold"));
+    registry.offer(plans(1, "[customer bookings]\nplan = gold\n"));
+    registry.offer(plans(2, ""));
+
+    assertTrue(registry.inForce().allowance(BOOKINGS).isEmpty());
+  }
+
+  private PlanName planOfBookings() {
+    return registry.inForce().allowance(BOOKINGS).orElseThrow().allowance().plan();
+  }
+
+  private static PublishedList plans(long version, String text) {
+    return list(ListKind.PLANS, version, text);
+  }
+
+  private static PublishedList allowances(long version, String plan) {
+    String text =
+        "[plan "
+            + plan
+            + "]\nconnections = 5\nconcurrent-statements = 5\n"
+            + "statements-per-second = 50\nguaranteed-share = 10\n";
+    return list(ListKind.ALLOWANCES, version, text);
+  }
+
+  private static PublishedList list(ListKind kind, long version, String text) {
+    return new PublishedList(
+        kind, new ListVersion(version), "w" + version, "ana", Instant.EPOCH, "", text);
+  }
+}
