--- /dev/null
+++ b/core/src/test/java/org/mimosacleat/core/connection/ConnectionDemandForecastTest.java
@@ -0,0 +1,45 @@
+package org.mimosacleat.core.connection;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+import org.mimosacleat.core.time.PausedClock;
+
+class ConnectionDemandForecastTest {
+  private final PausedClock clock = new PausedClock();
+  private final ConnectionDemandForecast forecast =
+      new ConnectionDemandForecast(2, Duration.ofMillis(10), clock);
+
+  private void observe(int demand, Duration later) {
+    clock.advance(later);
+    forecast.observe(demand, 0);
+  }
+
+  @Test
+  void risingDemandIsMetOneOpeningTimeAhead() {
+    for (int demand = 1; demand <= 20; demand++) {
+      observe(demand, Duration.ofMillis(10));
+    }
+
+    assertTrue(forecast.wanted() >= 21, "wanted " + forecast.wanted());
+  }
+
+  @Test
+  void briefDipClosesNothing() {
+    observe(20, Duration.ofMillis(10));
+    observe(1, Duration.ofMillis(200));
+
+    assertTrue(forecast.wanted() >= 20);
+  }
+
+  @Test
+  void longPauseFallsBackToTheMinimum() {
+    observe(20, Duration.ofMillis(10));
+    observe(0, Duration.ofSeconds(60));
+    observe(0, Duration.ofSeconds(60));
+
+    assertEquals(2, forecast.wanted());
+  }
+}
