--- /dev/null
+++ b/wire/src/main/java/org/mimosacleat/wire/peer/PeerCodec.java
@@ -0,0 +1,186 @@
+package org.mimosacleat.wire.peer;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.mimosacleat.core.error.ErrorKind;
+import org.mimosacleat.core.error.Failure;
+import org.mimosacleat.core.id.CustomerId;
+import org.mimosacleat.core.id.GroupId;
+import org.mimosacleat.core.id.RequestId;
+import org.mimosacleat.core.id.SessionId;
+import org.mimosacleat.core.id.VmId;
+import org.mimosacleat.core.position.LogPosition;
+import org.mimosacleat.core.position.Position;
+import org.mimosacleat.core.position.Term;
+import org.mimosacleat.core.statement.StatementKind;
+import org.mimosacleat.wire.postgres.TransactionStatus;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** Turns peer messages into MessagePack and back. */
+public final class PeerCodec {
+  private static final int HELLO = 1;
+  private static final int PROOF = 2;
+  private static final int WORK = 3;
+  private static final int ANSWERED = 4;
+  private static final int FAILED = 5;
+  private static final int CANCEL = 6;
+  private static final int ABANDON = 7;
+  private static final int FLEET = 8;
+  private static final long ABSENT = -1;
+
+  private PeerCodec() {}
+
+  /** Returns the bytes of a message, without the length word. */
+  public static byte[] encode(PeerMessage message) throws IOException {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      pack(packer, message);
+      return packer.toByteArray();
+    }
+  }
+
+  /**
+   * Reads a message.
+   *
+   * @throws PeerProtocolException if the bytes are not exactly one known message
+   */
+  public static PeerMessage decode(byte[] bytes) throws PeerProtocolException {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+      PeerMessage message = unpack(unpacker);
+      if (unpacker.hasNext()) {
+        throw new PeerProtocolException("peer message: bytes follow the message");
+      }
+      return message;
+    } catch (PeerProtocolException malformed) {
+      throw malformed;
+    } catch (IOException | RuntimeException malformed) {
+      throw new PeerProtocolException("peer message: " + malformed.getMessage());
+    }
+  }
+
+  private static void pack(MessagePacker packer, PeerMessage message) throws IOException {
+    switch (message) {
+      case PeerMessage.Hello hello -> {
+        packer.packInt(HELLO).packString(hello.sender().value());
+        packBytes(packer, hello.nonce());
+      }
+      case PeerMessage.Proof proof -> packBytes(packer.packInt(PROOF), proof.code());
+      case PeerMessage.Work work -> {
+        packer.packInt(WORK).packLong(work.correlation());
+        packRequest(packer, work.request());
+      }
+      case PeerMessage.Answered answered -> {
+        packer.packInt(ANSWERED).packLong(answered.correlation());
+        packAnswer(packer, answered.answer());
+      }
+      case PeerMessage.Failed failed ->
+          packer
+              .packInt(FAILED)
+              .packLong(failed.correlation())
+              .packString(failed.failure().kind().name())
+              .packString(failed.failure().detail());
+      case PeerMessage.Cancel cancel -> packer.packInt(CANCEL).packLong(cancel.correlation());
+      case PeerMessage.Abandon abandon -> packer.packInt(ABANDON).packLong(abandon.transaction());
+      case PeerMessage.Fleet fleet ->
+          packBytes(packer.packInt(FLEET).packInt(fleet.channel()), fleet.body());
+    }
+  }
+
+  private static PeerMessage unpack(MessageUnpacker unpacker) throws IOException {
+    int type = unpacker.unpackInt();
+    return switch (type) {
+      case HELLO -> new PeerMessage.Hello(new VmId(unpacker.unpackString()), unpackBytes(unpacker));
+      case PROOF -> new PeerMessage.Proof(unpackBytes(unpacker));
+      case WORK -> new PeerMessage.Work(unpacker.unpackLong(), unpackRequest(unpacker));
+      case ANSWERED -> new PeerMessage.Answered(unpacker.unpackLong(), unpackAnswer(unpacker));
+      case FAILED -> new PeerMessage.Failed(unpacker.unpackLong(), unpackFailure(unpacker));
+      case CANCEL -> new PeerMessage.Cancel(unpacker.unpackLong());
+      case ABANDON -> new PeerMessage.Abandon(unpacker.unpackLong());
+      case FLEET -> new PeerMessage.Fleet(unpacker.unpackInt(), unpackBytes(unpacker));
+      default -> throw new PeerProtocolException("peer message: unknown type " + type);
+    };
+  }
+
+  private static void packRequest(MessagePacker packer, WorkRequest request) throws IOException {
+    packer
+        .packString(request.group().value())
+        .packString(request.customer().value())
+        .packString(request.session().value())
+        .packLong(request.transaction())
+        .packString(request.kind().name())
+        .packLong(request.maximumAge().map(Duration::toNanos).orElse(ABSENT))
+        .packString(request.requestId().map(RequestId::value).orElse(""))
+        .packBoolean(request.repeatable())
+        .packArrayHeader(request.settings().size());
+    for (String setting : request.settings()) {
+      packer.packString(setting);
+    }
+    packer
+        .packLong(request.fingerprint())
+        .packLong(request.timeLeft().toNanos())
+        .packString(request.traceParent());
+    packBytes(packer, request.frames());
+  }
+
+  private static WorkRequest unpackRequest(MessageUnpacker unpacker) throws IOException {
+    return new WorkRequest(
+        new GroupId(unpacker.unpackString()),
+        new CustomerId(unpacker.unpackString()),
+        new SessionId(unpacker.unpackString()),
+        unpacker.unpackLong(),
+        StatementKind.valueOf(unpacker.unpackString()),
+        Optional.of(unpacker.unpackLong()).filter(age -> age != ABSENT).map(Duration::ofNanos),
+        Optional.of(unpacker.unpackString()).filter(id -> !id.isEmpty()).map(RequestId::new),
+        unpacker.unpackBoolean(),
+        unpackStrings(unpacker),
+        unpacker.unpackLong(),
+        Duration.ofNanos(unpacker.unpackLong()),
+        unpacker.unpackString(),
+        unpackBytes(unpacker));
+  }
+
+  private static void packAnswer(MessagePacker packer, WorkAnswer answer) throws IOException {
+    packBytes(packer, answer.frames());
+    packer
+        .packString(answer.status().name())
+        .packLong(answer.transaction())
+        .packLong(answer.position().term().number())
+        .packLong(answer.position().log().bytes())
+        .packBoolean(answer.hasError());
+  }
+
+  private static WorkAnswer unpackAnswer(MessageUnpacker unpacker) throws IOException {
+    return new WorkAnswer(
+        unpackBytes(unpacker),
+        TransactionStatus.valueOf(unpacker.unpackString()),
+        unpacker.unpackLong(),
+        new Position(new Term(unpacker.unpackLong()), new LogPosition(unpacker.unpackLong())),
+        unpacker.unpackBoolean());
+  }
+
+  private static Failure unpackFailure(MessageUnpacker unpacker) throws IOException {
+    return new Failure(ErrorKind.valueOf(unpacker.unpackString()), unpacker.unpackString());
+  }
+
+  private static List<String> unpackStrings(MessageUnpacker unpacker) throws IOException {
+    int count = unpacker.unpackArrayHeader();
+    List<String> strings = new ArrayList<>();
+    for (int index = 0; index < count; index++) {
+      strings.add(unpacker.unpackString());
+    }
+    return strings;
+  }
+
+  private static void packBytes(MessagePacker packer, byte[] bytes) throws IOException {
+    packer.packBinaryHeader(bytes.length).writePayload(bytes);
+  }
+
+  private static byte[] unpackBytes(MessageUnpacker unpacker) throws IOException {
+    return unpacker.readPayload(unpacker.unpackBinaryHeader());
+  }
+}
