--- /dev/null
+++ b/proxy/src/main/java/org/mimosacleat/proxy/endpoint/EndpointLogin.java
@@ -0,0 +1,64 @@
+package org.mimosacleat.proxy.endpoint;
+
+import java.io.IOException;
+import java.net.Socket;
+import org.mimosacleat.wire.postgres.BackendType;
+import org.mimosacleat.wire.postgres.BodyBuilder;
+import org.mimosacleat.wire.postgres.BodyReader;
+import org.mimosacleat.wire.postgres.Frame;
+import org.mimosacleat.wire.postgres.FrameException;
+import org.mimosacleat.wire.postgres.FrameReader;
+import org.mimosacleat.wire.postgres.FrameWriter;
+import org.mimosacleat.wire.postgres.FrontendType;
+
+/** Logs in at an endpoint, up to its first ready-for-query. */
+final class EndpointLogin {
+  private static final int MAXIMUM_FRAME_BYTES = 64 * 1024;
+  private static final int OK = 0;
+  private static final int CLEARTEXT_PASSWORD = 3;
+
+  private EndpointLogin() {}
+
+  /** Reads byte by byte ahead of nothing: the endpoint says no more than it was asked. */
+  static CancelKey run(Socket socket, EndpointAddress address) throws IOException {
+    FrameReader reader = new FrameReader(socket.getInputStream(), MAXIMUM_FRAME_BYTES);
+    FrameWriter writer = new FrameWriter(socket.getOutputStream());
+    CancelKey cancelKey = new CancelKey(0, 0);
+    while (true) {
+      Frame frame = reader.read();
+      switch (frame.type()) {
+        case BackendType.AUTHENTICATION -> authenticate(frame, writer, address);
+        case BackendType.BACKEND_KEY_DATA -> {
+          BodyReader body = new BodyReader(frame);
+          cancelKey = new CancelKey(body.readInt(), body.readInt());
+        }
+        case BackendType.ERROR ->
+            throw new IOException(
+                "endpoint " + address.endpoint() + " refused: " + ErrorText.of(frame));
+        case BackendType.READY_FOR_QUERY -> {
+          return cancelKey;
+        }
+        default -> {
+          // Parameter status and notices do not matter to a pooled connection.
+        }
+      }
+    }
+  }
+
+  private static void authenticate(Frame frame, FrameWriter writer, EndpointAddress address)
+      throws IOException {
+    int method = new BodyReader(frame).readInt();
+    if (method == OK) {
+      return;
+    }
+    if (method != CLEARTEXT_PASSWORD) {
+      throw new FrameException(
+          "endpoint "
+              + address.endpoint()
+              + " asks for authentication method "
+              + method
+              + "; supported are trust and password");
+    }
+    writer.write(new BodyBuilder().string(address.password().value()).frame(FrontendType.PASSWORD));
+  }
+}
