--- a/proxy/src/main/java/org/mimosacleat/proxy/endpoint/QueryResult.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/endpoint/QueryResult.java
@@ -30,7 +30,8 @@
     return rows.getFirst().get(column);
   }
 
-  static QueryResult of(EndpointReply reply) throws IOException {
+  /** Reads the rows of an answer. */
+  public static QueryResult of(EndpointReply reply) throws IOException {
     FrameReader frames =
         new FrameReader(new ByteArrayInputStream(reply.frames()), reply.frames().length + 1);
     List<List<String>> rows = new ArrayList<>();
--- /dev/null
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/OpenTransaction.java
@@ -0,0 +1,84 @@
+package org.mimosacleat.proxy.home;
+
+import java.time.Instant;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
+import org.mimosacleat.core.id.CustomerId;
+import org.mimosacleat.core.position.Term;
+import org.mimosacleat.proxy.endpoint.EndpointConnection;
+import org.mimosacleat.proxy.endpoint.EndpointPool;
+
+/** A transaction that holds its endpoint connection until it ends. */
+final class OpenTransaction {
+  private final long number;
+  private final TransactionOwner owner;
+  private final CustomerId customer;
+  private final EndpointPool pool;
+  private final EndpointConnection connection;
+  private final Optional<Term> primaryTerm;
+  private final AtomicBoolean busy = new AtomicBoolean(true);
+  private final AtomicReference<Instant> lastUsed;
+
+  OpenTransaction(
+      long number,
+      TransactionOwner owner,
+      CustomerId customer,
+      EndpointPool pool,
+      EndpointConnection connection,
+      Optional<Term> primaryTerm,
+      Instant openedAt) {
+    this.number = number;
+    this.owner = owner;
+    this.customer = customer;
+    this.pool = pool;
+    this.connection = connection;
+    this.primaryTerm = primaryTerm;
+    this.lastUsed = new AtomicReference<>(openedAt);
+  }
+
+  long number() {
+    return number;
+  }
+
+  CustomerId customer() {
+    return customer;
+  }
+
+  EndpointPool pool() {
+    return pool;
+  }
+
+  EndpointConnection connection() {
+    return connection;
+  }
+
+  boolean onPrimary() {
+    return primaryTerm.isPresent();
+  }
+
+  /** Returns the term in which it runs on a primary, or empty if it runs on a replica. */
+  Optional<Term> primaryTerm() {
+    return primaryTerm;
+  }
+
+  boolean isOwnedBy(TransactionOwner other) {
+    return owner == other;
+  }
+
+  /** Claims the connection for one batch; false if a batch is running on it. */
+  boolean claim() {
+    return busy.compareAndSet(false, true);
+  }
+
+  /** Ends the claim; the transaction stays open. */
+  void unclaim(Instant now) {
+    lastUsed.set(now);
+    busy.set(false);
+  }
+
+  /** Tells whether nothing has run on it since {@code limit}. */
+  boolean isIdleSince(Instant limit) {
+    return !busy.get() && lastUsed.get().isBefore(limit);
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/OpenTransactions.java
@@ -0,0 +1,103 @@
+package org.mimosacleat.proxy.home;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Predicate;
+import org.mimosacleat.core.id.CustomerId;
+import org.mimosacleat.core.position.Term;
+import org.mimosacleat.proxy.endpoint.EndpointConnection;
+import org.mimosacleat.proxy.endpoint.EndpointPool;
+
+/**
+ * The open transactions of a home. Removing one is what decides who may end it: of two that try,
+ * one gets it.
+ */
+final class OpenTransactions {
+  private final ConcurrentHashMap<Long, OpenTransaction> byNumber = new ConcurrentHashMap<>();
+  private final AtomicLong lastNumber = new AtomicLong();
+  private final InstantSource clock;
+
+  OpenTransactions(InstantSource clock) {
+    this.clock = clock;
+  }
+
+  /** Registers a transaction whose first batch has been answered. */
+  OpenTransaction open(
+      TransactionOwner owner,
+      CustomerId customer,
+      EndpointPool pool,
+      EndpointConnection connection,
+      Optional<Term> primaryTerm) {
+    OpenTransaction transaction =
+        new OpenTransaction(
+            lastNumber.incrementAndGet(),
+            owner,
+            customer,
+            pool,
+            connection,
+            primaryTerm,
+            clock.instant());
+    byNumber.put(transaction.number(), transaction);
+    transaction.unclaim(clock.instant());
+    return transaction;
+  }
+
+  /** Returns a transaction of this owner for one batch, claimed; empty if it is gone or busy. */
+  Optional<OpenTransaction> claim(long number, TransactionOwner owner) {
+    return Optional.ofNullable(byNumber.get(number))
+        .filter(transaction -> transaction.isOwnedBy(owner))
+        .filter(OpenTransaction::claim);
+  }
+
+  /** Hands a claimed transaction back; false if it was ended in the meantime. */
+  boolean keep(OpenTransaction transaction) {
+    transaction.unclaim(clock.instant());
+    return byNumber.containsKey(transaction.number());
+  }
+
+  /** Ends a transaction whose connection is idle again. */
+  void finish(OpenTransaction transaction) {
+    if (byNumber.remove(transaction.number(), transaction)) {
+      transaction.pool().release(transaction.connection());
+    }
+  }
+
+  /** Ends a transaction by closing its connection, which rolls it back. */
+  void discard(OpenTransaction transaction) {
+    if (byNumber.remove(transaction.number(), transaction)) {
+      transaction.pool().discard(transaction.connection());
+    }
+  }
+
+  /** Rolls back one transaction of an owner whose caller has left. */
+  void abandon(long number, TransactionOwner owner) {
+    discardAll(
+        transaction -> transaction.number() == number && transaction.isOwnedBy(owner));
+  }
+
+  /** Rolls back all transactions of an owner that was lost. */
+  void abandonAll(TransactionOwner owner) {
+    discardAll(transaction -> transaction.isOwnedBy(owner));
+  }
+
+  /** Rolls back what has been idle for longer than {@code limit}. */
+  void discardIdle(Duration limit) {
+    discardAll(transaction -> transaction.isIdleSince(clock.instant().minus(limit)));
+  }
+
+  /** Rolls back all. */
+  void discardAll() {
+    discardAll(transaction -> true);
+  }
+
+  int count() {
+    return byNumber.size();
+  }
+
+  private void discardAll(Predicate<OpenTransaction> chosen) {
+    byNumber.values().stream().filter(chosen).toList().forEach(this::discard);
+  }
+}
