--- /dev/null
+++ b/proxy/src/main/java/org/mimosacleat/proxy/caller/Batch.java
@@ -0,0 +1,21 @@
+package org.mimosacleat.proxy.caller;
+
+import java.util.List;
+import org.mimosacleat.wire.postgres.Frame;
+import org.mimosacleat.wire.postgres.FrontendType;
+
+/**
+ * What a client sends before it waits for an answer: one simple query, or frames of the extended
+ * protocol up to a sync.
+ *
+ * @param frames the frames, at least one
+ */
+record Batch(List<Frame> frames) {
+  Batch {
+    frames = List.copyOf(frames);
+  }
+
+  boolean isSimple() {
+    return frames.getLast().is(FrontendType.QUERY);
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/mimosacleat/proxy/caller/BatchHandler.java
@@ -0,0 +1,201 @@
+package org.mimosacleat.proxy.caller;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import org.mimosacleat.core.error.ErrorKind;
+import org.mimosacleat.core.error.Failure;
+import org.mimosacleat.core.statement.StatementKind;
+import org.mimosacleat.proxy.dispatch.DispatchedWork;
+import org.mimosacleat.proxy.dispatch.Dispatcher;
+import org.mimosacleat.wire.peer.WorkAnswer;
+import org.mimosacleat.wire.peer.WorkRequest;
+import org.mimosacleat.wire.postgres.Frame;
+import org.mimosacleat.wire.postgres.FrameException;
+import org.mimosacleat.wire.postgres.FrameWriter;
+import org.mimosacleat.wire.postgres.TransactionStatus;
+
+/** Answers the batches of one session, one after the other. */
+final class BatchHandler {
+  private static final String NO_TRACE = "";
+
+  private final CallerSession session;
+  private final Dispatcher dispatcher;
+  private final Duration requestTimeout;
+  private final AtomicReference<DispatchedWork> running = new AtomicReference<>();
+
+  BatchHandler(CallerSession session, Dispatcher dispatcher, Duration requestTimeout) {
+    this.session = session;
+    this.dispatcher = dispatcher;
+    this.requestTimeout = requestTimeout;
+  }
+
+  /** Returns the frames that answer the batch. */
+  byte[] answer(Batch batch) throws FrameException {
+    BatchPlan plan = BatchPlanner.plan(batch, session.prepared());
+    Optional<List<Frame>> local = answerLocally(plan);
+    if (local.isPresent()) {
+      return FrameWriter.encode(local.get());
+    }
+    return dispatch(plan);
+  }
+
+  /** Cancels the batch that is running, if one is. */
+  void cancel() {
+    DispatchedWork work = running.get();
+    if (work != null) {
+      work.cancel();
+    }
+  }
+
+  /** Rolls back what the client has left open. */
+  void abandon() {
+    session
+        .transactionHome()
+        .ifPresent(home -> dispatcher.abandon(home, session.transaction(), session.owner()));
+    session.idle();
+  }
+
+  private Optional<List<Frame>> answerLocally(BatchPlan plan) throws FrameException {
+    Optional<HintStatement> hint = hintOf(plan);
+    if (hint.isPresent()) {
+      return Optional.of(setHint(plan, hint.get()));
+    }
+    if (session.hasLostTransaction()) {
+      return Optional.of(answerInLostTransaction(plan));
+    }
+    return refusal(plan).map(failure -> LocalAnswer.failed(failure, statusAfterRefusal()));
+  }
+
+  private static Optional<HintStatement> hintOf(BatchPlan plan) {
+    return plan.texts().size() == 1
+        ? HintStatement.parse(plan.texts().getFirst())
+        : Optional.empty();
+  }
+
+  private List<Frame> setHint(BatchPlan plan, HintStatement hint) throws FrameException {
+    Either<Failure, SessionHints> changed = session.hints().with(hint.name(), hint.value());
+    if (changed.isLeft()) {
+      return LocalAnswer.failed(changed.getLeft(), session.status());
+    }
+    session.setHints(changed.get());
+    return LocalAnswer.done(plan.batch(), "SET", session.status());
+  }
+
+  private List<Frame> answerInLostTransaction(BatchPlan plan) throws FrameException {
+    if (plan.kind() == StatementKind.ROLLBACK || plan.kind() == StatementKind.COMMIT) {
+      session.idle();
+      return LocalAnswer.done(plan.batch(), "ROLLBACK", TransactionStatus.IDLE);
+    }
+    Failure failure =
+        new Failure(
+            ErrorKind.TRANSACTION_LOST, "the transaction was lost; roll back and start again");
+    return LocalAnswer.failed(failure, TransactionStatus.FAILED);
+  }
+
+  private Optional<Failure> refusal(BatchPlan plan) {
+    if (plan.refusal().isPresent()) {
+      return plan.refusal().map(reason -> new Failure(ErrorKind.NOT_SUPPORTED, reason));
+    }
+    if (plan.kind() == StatementKind.SESSION_BOUND) {
+      return Optional.of(
+          new Failure(
+              ErrorKind.NOT_SUPPORTED,
+              "the statement needs a connection of its own beyond a transaction"));
+    }
+    if (!session.prepared().hasRoomFor(plan)) {
+      return Optional.of(
+          new Failure(
+              ErrorKind.NOT_SUPPORTED,
+              "a session may have " + PreparedStatements.MAXIMUM_COUNT + " prepared statements"));
+    }
+    if (plan.kind() == StatementKind.SET && session.settings().isFull()) {
+      return Optional.of(
+          new Failure(
+              ErrorKind.NOT_SUPPORTED,
+              "a session may change " + SessionSettings.MAXIMUM_COUNT + " settings"));
+    }
+    return Optional.empty();
+  }
+
+  /** A refused batch in a transaction reached no endpoint, so the transaction goes on. */
+  private TransactionStatus statusAfterRefusal() {
+    return session.status();
+  }
+
+  private byte[] dispatch(BatchPlan plan) {
+    return dispatcher
+        .prepare(request(plan), session.owner(), session.transactionHome())
+        .flatMap(work -> run(work).map(answer -> accept(plan, work, answer)))
+        .getOrElseGet(failure -> FrameWriter.encode(fail(plan, failure)));
+  }
+
+  private Either<Failure, WorkAnswer> run(DispatchedWork work) {
+    running.set(work);
+    try {
+      return work.run();
+    } finally {
+      running.set(null);
+    }
+  }
+
+  private WorkRequest request(BatchPlan plan) {
+    return new WorkRequest(
+        session.group(),
+        session.customer(),
+        session.hints().session(),
+        session.transaction(),
+        plan.kind(),
+        session.hints().maximumAge(),
+        session.hints().requestId(),
+        session.hints().repeatable(),
+        session.settings().statements(),
+        plan.texts().hashCode(),
+        requestTimeout,
+        NO_TRACE,
+        frames(plan));
+  }
+
+  private static byte[] frames(BatchPlan plan) {
+    if (plan.injected().isEmpty()) {
+      return FrameWriter.encode(plan.batch().frames());
+    }
+    List<Frame> all = new ArrayList<>(plan.injected());
+    all.addAll(plan.batch().frames());
+    return FrameWriter.encode(all);
+  }
+
+  private byte[] accept(BatchPlan plan, DispatchedWork work, WorkAnswer answer) {
+    boolean open = answer.transaction() != WorkRequest.NO_TRANSACTION;
+    if (open) {
+      session.inTransaction(work.home(), answer.transaction(), answer.status());
+    } else {
+      session.idle();
+    }
+    if (!answer.hasError()) {
+      session.prepared().apply(plan, open);
+      recordSettings(plan);
+    }
+    return AnswerFilter.withoutInjected(answer.frames(), plan.injected().size());
+  }
+
+  private void recordSettings(BatchPlan plan) {
+    if (plan.kind() == StatementKind.SET) {
+      plan.texts().forEach(session.settings()::put);
+    }
+  }
+
+  private List<Frame> fail(BatchPlan plan, Failure failure) {
+    boolean wasOpen = session.transactionHome().isPresent();
+    boolean ended = plan.kind() == StatementKind.COMMIT || plan.kind() == StatementKind.ROLLBACK;
+    if (wasOpen && !ended) {
+      session.transactionLost();
+    } else {
+      session.idle();
+    }
+    return LocalAnswer.failed(failure, session.status());
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/mimosacleat/proxy/caller/CallerConnection.java
@@ -0,0 +1,214 @@
+package org.mimosacleat.proxy.caller;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.atomic.AtomicReference;
+import org.mimosacleat.core.error.ErrorKind;
+import org.mimosacleat.core.error.Failure;
+import org.mimosacleat.core.id.CustomerId;
+import org.mimosacleat.core.id.GroupId;
+import org.mimosacleat.core.id.SessionId;
+import org.mimosacleat.proxy.home.TransactionOwner;
+import org.mimosacleat.wire.postgres.Frame;
+import org.mimosacleat.wire.postgres.FrameException;
+import org.mimosacleat.wire.postgres.FrameReader;
+import org.mimosacleat.wire.postgres.FrameWriter;
+import org.mimosacleat.wire.postgres.Frames;
+import org.mimosacleat.wire.postgres.StartupPacket;
+import org.mimosacleat.wire.postgres.TransactionStatus;
+
+/** Serves one connection of a client from its first packet to its end. */
+final class CallerConnection implements AutoCloseable {
+  private static final byte NOT_ENCRYPTED = 'N';
+  private static final int MAXIMUM_ENCRYPTION_REQUESTS = 2;
+
+  private final Socket socket;
+  private final CallerContext context;
+  private final FrameReader reader;
+  private final FrameWriter writer;
+  private final AtomicReference<Activity> activity = new AtomicReference<>(Activity.STARTING);
+
+  CallerConnection(Socket socket, CallerContext context) throws IOException {
+    this.socket = socket;
+    this.context = context;
+    this.reader = new FrameReader(socket.getInputStream(), context.limits().frameBytes());
+    this.writer = new FrameWriter(socket.getOutputStream());
+  }
+
+  /** Serves until the client leaves, the proxy stops, or the client breaks the protocol. */
+  void run() throws IOException {
+    socket.setTcpNoDelay(true);
+    socket.setKeepAlive(true);
+    socket.setSoTimeout(Math.toIntExact(context.limits().authenticationTimeout().toMillis()));
+    try {
+      open();
+    } catch (FrameException malformed) {
+      writer.write(Frames.fatal(new Failure(ErrorKind.PROTOCOL_VIOLATION, malformed.getMessage())));
+      throw malformed;
+    }
+  }
+
+  /**
+   * Asks the connection to end. One that waits for its client is told and closed at once; one that
+   * has work or a transaction in flight ends after it.
+   */
+  void stop() {
+    Activity before =
+        activity.getAndUpdate(now -> now == Activity.WORKING ? Activity.STOPPING : Activity.ENDED);
+    if (before == Activity.WAITING) {
+      tellStopping();
+      close();
+    }
+  }
+
+  @Override
+  public void close() {
+    try {
+      socket.close();
+    } catch (IOException alreadyBroken) {
+      return;
+    }
+  }
+
+  private void open() throws IOException {
+    for (int request = 0; request <= MAXIMUM_ENCRYPTION_REQUESTS; request++) {
+      switch (reader.readStartup()) {
+        case StartupPacket.TlsRequest tls -> socket.getOutputStream().write(NOT_ENCRYPTED);
+        case StartupPacket.GssapiRequest gssapi -> socket.getOutputStream().write(NOT_ENCRYPTED);
+        case StartupPacket.Cancel cancel -> {
+          context.cancels().cancel(new CancelTarget(cancel.processId(), cancel.secretKey()));
+          return;
+        }
+        case StartupPacket.Startup startup -> {
+          logIn(startup.parameters());
+          return;
+        }
+      }
+    }
+    throw new FrameException("startup packet: encryption was asked for too often");
+  }
+
+  private void logIn(Map<String, String> parameters) throws IOException {
+    String user = parameters.getOrDefault("user", "");
+    if (user.isBlank()) {
+      refuse(new Failure(ErrorKind.AUTHENTICATION_FAILED, "the startup packet names no user"));
+      return;
+    }
+    Either<Failure, CustomerId> customer =
+        context.authenticator().authenticate(user, reader, writer);
+    Either<Failure, CallerSession> session = customer.flatMap(known -> session(known, parameters));
+    if (session.isLeft()) {
+      refuse(session.getLeft());
+      return;
+    }
+    socket.setSoTimeout(0);
+    serve(session.get());
+  }
+
+  private Either<Failure, CallerSession> session(
+      CustomerId customer, Map<String, String> parameters) {
+    String database = parameters.getOrDefault("database", customer.value());
+    GroupId group = new GroupId(database);
+    if (!context.groups().contains(group)) {
+      return Either.left(
+          new Failure(ErrorKind.UNKNOWN_GROUP, "database group '" + database + "' is not known"));
+    }
+    SessionHints hints = SessionHints.forSession(new SessionId(UUID.randomUUID().toString()));
+    CallerSession session =
+        new CallerSession(
+            customer,
+            group,
+            new TransactionOwner("client at " + socket.getRemoteSocketAddress()),
+            hints);
+    Either<Failure, SessionHints> result = Either.right(hints);
+    for (Map.Entry<String, String> setting : StartupOptions.settings(parameters).entrySet()) {
+      if (setting.getKey().startsWith(SessionHints.PREFIX)) {
+        String name = setting.getKey().substring(SessionHints.PREFIX.length());
+        result = result.flatMap(known -> known.with(name, setting.getValue()));
+      } else {
+        session.settings().putOption(setting.getKey(), setting.getValue());
+      }
+    }
+    return result.map(
+        known -> {
+          session.setHints(known);
+          return session;
+        });
+  }
+
+  private void serve(CallerSession session) throws IOException {
+    BatchHandler handler =
+        new BatchHandler(session, context.dispatcher(), context.limits().requestTimeout());
+    CancelTarget key = context.cancels().register(handler::cancel);
+    try {
+      writer.write(greeting(key));
+      serveBatches(handler, session);
+    } finally {
+      context.cancels().unregister(key);
+      handler.abandon();
+    }
+  }
+
+  private List<Frame> greeting(CancelTarget key) {
+    List<Frame> frames = new ArrayList<>();
+    frames.add(Frames.authenticationOk());
+    ServerParameters.ALL.forEach(
+        parameter -> frames.add(Frames.parameterStatus(parameter.name(), parameter.value())));
+    frames.add(Frames.backendKeyData(key.processId(), key.secretKey()));
+    frames.add(Frames.readyForQuery(TransactionStatus.IDLE));
+    return frames;
+  }
+
+  private void serveBatches(BatchHandler handler, CallerSession session) throws IOException {
+    BatchReader batches = new BatchReader(reader, context.limits().frameBytes());
+    activity.compareAndSet(Activity.STARTING, Activity.WAITING);
+    while (true) {
+      Optional<Frame> first = batches.readFirst();
+      boolean mayWork =
+          activity.compareAndSet(Activity.WAITING, Activity.WORKING) || isInTransaction(session);
+      if (first.isEmpty() || !mayWork) {
+        return;
+      }
+      writer.writeEncoded(handler.answer(batches.readRest(first.get())));
+      if (isInTransaction(session)) {
+        continue;
+      }
+      if (!activity.compareAndSet(Activity.WORKING, Activity.WAITING)) {
+        tellStopping();
+        return;
+      }
+    }
+  }
+
+  /** A transaction in flight goes on while the proxy stops. */
+  private static boolean isInTransaction(CallerSession session) {
+    return session.status() != TransactionStatus.IDLE;
+  }
+
+  private void tellStopping() {
+    try {
+      writer.write(Frames.fatal(new Failure(ErrorKind.SHUTTING_DOWN, "this proxy is stopping")));
+    } catch (IOException alreadyGone) {
+      return;
+    }
+  }
+
+  private void refuse(Failure failure) throws IOException {
+    writer.write(Frames.fatal(failure));
+  }
+
+  /** What the connection is doing, as far as stopping needs to know. */
+  private enum Activity {
+    STARTING,
+    WAITING,
+    WORKING,
+    STOPPING,
+    ENDED
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/mimosacleat/proxy/caller/LocalAnswer.java
@@ -0,0 +1,53 @@
+package org.mimosacleat.proxy.caller;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.mimosacleat.core.error.Failure;
+import org.mimosacleat.wire.postgres.BackendType;
+import org.mimosacleat.wire.postgres.BodyBuilder;
+import org.mimosacleat.wire.postgres.BodyReader;
+import org.mimosacleat.wire.postgres.Frame;
+import org.mimosacleat.wire.postgres.FrameException;
+import org.mimosacleat.wire.postgres.Frames;
+import org.mimosacleat.wire.postgres.FrontendType;
+import org.mimosacleat.wire.postgres.TransactionStatus;
+
+/** Builds the answers that the proxy gives without an endpoint. */
+final class LocalAnswer {
+  private static final byte STATEMENT = 'S';
+
+  private LocalAnswer() {}
+
+  /** Answers a batch of one statement without rows. */
+  static List<Frame> done(Batch batch, String tag, TransactionStatus status) throws FrameException {
+    List<Frame> answer = new ArrayList<>();
+    for (Frame frame : batch.frames()) {
+      addDone(answer, frame, tag);
+    }
+    answer.add(Frames.readyForQuery(status));
+    return answer;
+  }
+
+  /** Answers a batch with a failure. */
+  static List<Frame> failed(Failure failure, TransactionStatus status) {
+    return List.of(Frames.error(failure), Frames.readyForQuery(status));
+  }
+
+  private static void addDone(List<Frame> answer, Frame frame, String tag) throws FrameException {
+    switch (frame.type()) {
+      case FrontendType.QUERY, FrontendType.EXECUTE -> answer.add(Frames.commandComplete(tag));
+      case FrontendType.PARSE -> answer.add(Frames.empty(BackendType.PARSE_COMPLETE));
+      case FrontendType.BIND -> answer.add(Frames.empty(BackendType.BIND_COMPLETE));
+      case FrontendType.CLOSE -> answer.add(Frames.empty(BackendType.CLOSE_COMPLETE));
+      case FrontendType.DESCRIBE -> {
+        if (new BodyReader(frame).readByte() == STATEMENT) {
+          answer.add(new BodyBuilder().shortInteger(0).frame(BackendType.PARAMETER_DESCRIPTION));
+        }
+        answer.add(Frames.empty(BackendType.NO_DATA));
+      }
+      default -> {
+        // Sync is answered by ready-for-query alone.
+      }
+    }
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/mimosacleat/proxy/caller/SessionHints.java
@@ -0,0 +1,101 @@
+package org.mimosacleat.proxy.caller;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.Optional;
+import org.mimosacleat.core.error.ErrorKind;
+import org.mimosacleat.core.error.Failure;
+import org.mimosacleat.core.id.RequestId;
+import org.mimosacleat.core.id.SessionId;
+import org.mimosacleat.core.settings.DurationType;
+
+/**
+ * What a client asks of the proxy by settings whose names begin with {@value #PREFIX}. Immutable;
+ * {@link #with} returns changed hints.
+ *
+ * @param session under which it roams between proxies
+ * @param maximumAge how old the data of reads may be; empty if reads must see the own writes
+ * @param requestId of the next write; empty if it has none
+ * @param repeatable whether the proxies may send a failed read again
+ */
+record SessionHints(
+    SessionId session,
+    Optional<Duration> maximumAge,
+    Optional<RequestId> requestId,
+    boolean repeatable) {
+  /** How the names of these settings begin. */
+  static final String PREFIX = "mimosacleat.";
+
+  private static final DurationType AGE = new DurationType(Duration.ZERO, Duration.ofDays(1));
+
+  static SessionHints forSession(SessionId session) {
+    return new SessionHints(session, Optional.empty(), Optional.empty(), true);
+  }
+
+  /** Returns the hints with one setting changed; an empty value sets it back. */
+  Either<Failure, SessionHints> with(String name, String value) {
+    return switch (name) {
+      case "session" -> withSession(value);
+      case "max_age" -> withMaximumAge(value);
+      case "request_id" -> withRequestId(value);
+      case "not_repeatable" -> withNotRepeatable(value);
+      default ->
+          refuse(name, value, "one of session, max_age, request_id, not_repeatable as the name");
+    };
+  }
+
+  SessionHints withoutRequestId() {
+    return new SessionHints(session, maximumAge, Optional.empty(), repeatable);
+  }
+
+  private Either<Failure, SessionHints> withSession(String value) {
+    if (isNoName(value)) {
+      return refuse("session", value, "a name");
+    }
+    return Either.right(new SessionHints(new SessionId(value), maximumAge, requestId, repeatable));
+  }
+
+  private Either<Failure, SessionHints> withMaximumAge(String value) {
+    if (value.isEmpty()) {
+      return Either.right(new SessionHints(session, Optional.empty(), requestId, repeatable));
+    }
+    return AGE.parse(value)
+        .mapLeft(allowed -> failure("max_age", value, allowed))
+        .map(age -> new SessionHints(session, Optional.of(age), requestId, repeatable));
+  }
+
+  private Either<Failure, SessionHints> withRequestId(String value) {
+    if (value.isEmpty()) {
+      return Either.right(withoutRequestId());
+    }
+    if (isNoName(value)) {
+      return refuse("request_id", value, "a name");
+    }
+    return Either.right(
+        new SessionHints(session, maximumAge, Optional.of(new RequestId(value)), repeatable));
+  }
+
+  private Either<Failure, SessionHints> withNotRepeatable(String value) {
+    return switch (value.toLowerCase(java.util.Locale.ROOT)) {
+      case "on", "true", "1" ->
+          Either.right(new SessionHints(session, maximumAge, requestId, false));
+      case "off", "false", "0", "" ->
+          Either.right(new SessionHints(session, maximumAge, requestId, true));
+      default -> refuse("not_repeatable", value, "on or off");
+    };
+  }
+
+  private static boolean isNoName(String value) {
+    return value.isBlank()
+        || value.length() > org.mimosacleat.core.check.Checks.MAXIMUM_NAME_LENGTH;
+  }
+
+  private static Either<Failure, SessionHints> refuse(String name, String value, String allowed) {
+    return Either.left(failure(name, value, allowed));
+  }
+
+  private static Failure failure(String name, String value, String allowed) {
+    return new Failure(
+        ErrorKind.INVALID_SETTING, PREFIX + name + " = '" + value + "': allowed is " + allowed);
+  }
+}
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/BatchRunner.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/BatchRunner.java
@@ -104,8 +104,7 @@
     return both;
   }
 
-  private LogPosition position(EndpointConnection connection, Instant deadline)
-      throws IOException {
+  private LogPosition position(EndpointConnection connection, Instant deadline) throws IOException {
     EndpointReply reply = connection.receive(timeLeft(deadline));
     if (reply.hasError()) {
       // In a failed transaction the question is refused; nothing can commit there.
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/GroupHome.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/GroupHome.java
@@ -64,13 +64,13 @@
   }
 
   /** Runs one batch and waits for its answer. */
-  Either<Failure, WorkAnswer> execute(WorkRequest request, TransactionOwner owner) {
+  Either<Failure, WorkAnswer> execute(WorkRequest request, WorkTicket ticket) {
     Instant arrivedAt = clock.instant();
     Instant deadline = arrivedAt.plus(request.timeLeft());
     if (request.isInTransaction()) {
-      return continueTransaction(request, owner, deadline);
+      return continueTransaction(request, ticket, deadline);
     }
-    return start(new Attempt(request, owner, request.kind(), arrivedAt, deadline));
+    return start(new Attempt(request, ticket, request.kind(), arrivedAt, deadline));
   }
 
   /** Rolls back a transaction whose caller has left. */
@@ -85,6 +85,10 @@
 
   private Either<Failure, WorkAnswer> start(Attempt attempt) {
     while (true) {
+      if (attempt.ticket().isCancelled()) {
+        return Either.left(
+            new Failure(ErrorKind.DEADLINE_BEFORE_START, "cancelled before it was sent"));
+      }
       CompletableFuture<Void> change = state.nextChange();
       GroupKnowledge knowledge = state.knowledge();
       switch (router.route(routeRequest(attempt), knowledge)) {
@@ -133,8 +137,7 @@
             .maximumAge()
             .<Freshness>map(age -> new Freshness.MaximumAge(age, required))
             .orElseGet(() -> new Freshness.OwnWrites(required));
-    return new RouteRequest(
-        attempt.kind(), freshness, attempt.arrivedAt(), attempt.deadline());
+    return new RouteRequest(attempt.kind(), freshness, attempt.arrivedAt(), attempt.deadline());
   }
 
   private Either<Failure, WorkAnswer> runOn(
@@ -146,8 +149,12 @@
       return Either.left(connection.getLeft());
     }
     Either<Failure, BatchResult> result =
-        runner.run(
-            connection.get(), attempt.request(), primaryTerm.isPresent(), attempt.deadline());
+        run(
+            connection.get(),
+            attempt.request(),
+            attempt.ticket(),
+            primaryTerm.isPresent(),
+            attempt.deadline());
     if (result.isLeft()) {
       pool.discard(connection.get());
       watchers.poke(endpoint);
@@ -160,7 +167,7 @@
     if (result.get().reply().status() != TransactionStatus.IDLE) {
       OpenTransaction opened =
           transactions.open(
-              attempt.owner(),
+              attempt.ticket().owner(),
               attempt.request().customer(),
               pool,
               connection.get(),
@@ -171,6 +178,20 @@
     return acknowledge(attempt.request(), result.get(), primaryTerm, attempt.deadline());
   }
 
+  private Either<Failure, BatchResult> run(
+      EndpointConnection connection,
+      WorkRequest request,
+      WorkTicket ticket,
+      boolean onPrimary,
+      Instant deadline) {
+    ticket.runsOn(connection);
+    try {
+      return runner.run(connection, request, onPrimary, deadline);
+    } finally {
+      ticket.ended();
+    }
+  }
+
   private static boolean isRefusedWrite(BatchResult result) {
     return result.reply().errorState().equals(READ_ONLY_STATE)
         && result.reply().status() == TransactionStatus.IDLE;
@@ -200,8 +221,8 @@
   }
 
   private Either<Failure, WorkAnswer> continueTransaction(
-      WorkRequest request, TransactionOwner owner, Instant deadline) {
-    Optional<OpenTransaction> claimed = transactions.claim(request.transaction(), owner);
+      WorkRequest request, WorkTicket ticket, Instant deadline) {
+    Optional<OpenTransaction> claimed = transactions.claim(request.transaction(), ticket.owner());
     if (claimed.isEmpty()) {
       return Either.left(
           new Failure(
@@ -210,7 +231,7 @@
     }
     OpenTransaction transaction = claimed.get();
     Either<Failure, BatchResult> result =
-        runner.run(transaction.connection(), request, transaction.onPrimary(), deadline);
+        run(transaction.connection(), request, ticket, transaction.onPrimary(), deadline);
     if (result.isLeft()) {
       transactions.discard(transaction);
       return Either.left(result.getLeft());
@@ -251,10 +272,9 @@
   private Either<Failure, Position> confirm(Position commit, Instant deadline) {
     Instant limit = clock.instant().plus(confirmationTimeout);
     Instant end = limit.isBefore(deadline) ? limit : deadline;
-    CompletableFuture<Either<Failure, Position>> confirmation =
-        state.tracker().await(commit, end);
+    CompletableFuture<Either<Failure, Position>> confirmation = state.tracker().await(commit, end);
     while (true) {
-      CompletableFuture<Void> change = state.nextChange();
+      final CompletableFuture<Void> change = state.nextChange();
       if (confirmation.isDone()) {
         return join(confirmation);
       }
@@ -298,12 +318,12 @@
    */
   private record Attempt(
       WorkRequest request,
-      TransactionOwner owner,
+      WorkTicket ticket,
       StatementKind kind,
       Instant arrivedAt,
       Instant deadline) {
     Attempt asWrite() {
-      return new Attempt(request, owner, StatementKind.WRITE, arrivedAt, deadline);
+      return new Attempt(request, ticket, StatementKind.WRITE, arrivedAt, deadline);
     }
   }
 }
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/GroupState.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/GroupState.java
@@ -16,7 +16,6 @@
 import org.mimosacleat.core.group.EndpointView;
 import org.mimosacleat.core.group.GroupSnapshot;
 import org.mimosacleat.core.id.EndpointId;
-import org.mimosacleat.core.position.Position;
 import org.mimosacleat.core.routing.GroupKnowledge;
 import org.mimosacleat.core.routing.PrimaryHistory;
 import org.mimosacleat.core.session.SessionPositions;
@@ -37,7 +36,8 @@
       AcknowledgementTracker tracker,
       SessionPositions positions,
       LeaseStatus lease) {
-    this.picture = new AtomicReference<>(new Picture(initial, PrimaryHistory.empty(), Instant.MIN, false));
+    this.picture =
+        new AtomicReference<>(new Picture(initial, PrimaryHistory.empty(), Instant.MIN, false));
     this.tracker = tracker;
     this.positions = positions;
     this.lease = lease;
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/HomeFactory.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/HomeFactory.java
@@ -13,8 +13,8 @@
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.mimosacleat.core.acknowledgement.LeaseStatus;
-import org.mimosacleat.core.acknowledgement.ReplicaAcknowledgementTracker;
 import org.mimosacleat.core.acknowledgement.Reign;
+import org.mimosacleat.core.acknowledgement.ReplicaAcknowledgementTracker;
 import org.mimosacleat.core.group.EndpointState;
 import org.mimosacleat.core.group.EndpointView;
 import org.mimosacleat.core.group.GroupSnapshot;
@@ -142,8 +142,7 @@
       EndpointPoller poller =
           new EndpointPoller(address(group, endpoint), clock, monitor.timeout());
       watchers.put(
-          endpoint.id(),
-          new EndpointWatcher(endpoint.id(), poller, monitor.interval(), finder));
+          endpoint.id(), new EndpointWatcher(endpoint.id(), poller, monitor.interval(), finder));
     }
     return new EndpointWatchers(watchers);
   }
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/Homes.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/Homes.java
@@ -17,10 +17,10 @@
     this.homes = Map.copyOf(homes);
   }
 
-  /** Runs a batch for {@code owner} and waits for its answer. */
-  public Either<Failure, WorkAnswer> execute(WorkRequest request, TransactionOwner owner) {
+  /** Runs a batch and waits for its answer. */
+  public Either<Failure, WorkAnswer> execute(WorkRequest request, WorkTicket ticket) {
     return Optional.ofNullable(homes.get(request.group()))
-        .map(home -> home.home().execute(request, owner))
+        .map(home -> home.home().execute(request, ticket))
         .orElseGet(
             () ->
                 Either.left(
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/OpenTransactions.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/OpenTransactions.java
@@ -74,30 +74,29 @@
 
   /** Rolls back one transaction of an owner whose caller has left. */
   void abandon(long number, TransactionOwner owner) {
-    discardAll(
-        transaction -> transaction.number() == number && transaction.isOwnedBy(owner));
+    discardWhere(transaction -> transaction.number() == number && transaction.isOwnedBy(owner));
   }
 
   /** Rolls back all transactions of an owner that was lost. */
   void abandonAll(TransactionOwner owner) {
-    discardAll(transaction -> transaction.isOwnedBy(owner));
+    discardWhere(transaction -> transaction.isOwnedBy(owner));
   }
 
   /** Rolls back what has been idle for longer than {@code limit}. */
   void discardIdle(Duration limit) {
-    discardAll(transaction -> transaction.isIdleSince(clock.instant().minus(limit)));
+    discardWhere(transaction -> transaction.isIdleSince(clock.instant().minus(limit)));
   }
 
   /** Rolls back all. */
   void discardAll() {
-    discardAll(transaction -> true);
+    discardWhere(transaction -> true);
   }
 
   int count() {
     return byNumber.size();
   }
 
-  private void discardAll(Predicate<OpenTransaction> chosen) {
+  private void discardWhere(Predicate<OpenTransaction> chosen) {
     byNumber.values().stream().filter(chosen).toList().forEach(this::discard);
   }
 }
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/PrimaryFinder.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/PrimaryFinder.java
@@ -12,8 +12,7 @@
   private final InstantSource clock;
   private final BiConsumer<EndpointId, String> failures;
 
-  PrimaryFinder(
-      GroupState state, InstantSource clock, BiConsumer<EndpointId, String> failures) {
+  PrimaryFinder(GroupState state, InstantSource clock, BiConsumer<EndpointId, String> failures) {
     this.state = state;
     this.clock = clock;
     this.failures = failures;
--- /dev/null
+++ b/proxy/src/main/java/org/mimosacleat/proxy/peer/PeerListener.java
@@ -0,0 +1,91 @@
+package org.mimosacleat.proxy.peer;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import org.mimosacleat.proxy.home.Homes;
+import org.mimosacleat.wire.peer.PeerAuthenticator;
+import org.tinylog.Logger;
+
+/** Accepts connections of other proxies. {@link #close} ends them all. */
+public final class PeerListener implements AutoCloseable {
+  private final ServerSocket server;
+  private final PeerAuthenticator authenticator;
+  private final Homes homes;
+  private final FleetReceiver fleet;
+  private final ExecutorService executor;
+  private final Duration handshakeTimeout;
+  private final int maximumMessageBytes;
+  private final Set<PeerSession> sessions = ConcurrentHashMap.newKeySet();
+
+  /** Binds the address; {@link #start} begins to accept. */
+  public PeerListener(
+      InetSocketAddress address,
+      PeerAuthenticator authenticator,
+      Homes homes,
+      FleetReceiver fleet,
+      ExecutorService executor,
+      Duration handshakeTimeout,
+      int maximumMessageBytes)
+      throws IOException {
+    this.server = new ServerSocket();
+    this.server.setReuseAddress(true);
+    this.server.bind(address);
+    this.authenticator = authenticator;
+    this.homes = homes;
+    this.fleet = fleet;
+    this.executor = executor;
+    this.handshakeTimeout = handshakeTimeout;
+    this.maximumMessageBytes = maximumMessageBytes;
+  }
+
+  /** Returns the bound address. */
+  public InetSocketAddress address() {
+    return (InetSocketAddress) server.getLocalSocketAddress();
+  }
+
+  /** Starts to accept. */
+  public void start() {
+    executor.submit(this::acceptAll);
+  }
+
+  @Override
+  public void close() {
+    try {
+      server.close();
+    } catch (IOException alreadyClosed) {
+      Logger.debug("peer listener: {}", alreadyClosed.getMessage());
+    }
+    sessions.forEach(PeerSession::close);
+  }
+
+  private void acceptAll() {
+    while (!server.isClosed()) {
+      try {
+        Socket socket = server.accept();
+        executor.submit(() -> serve(socket));
+      } catch (IOException failed) {
+        Logger.debug("peer listener: {}", failed.getMessage());
+      }
+    }
+  }
+
+  private void serve(Socket socket) {
+    try (PeerSession session =
+        new PeerSession(socket, maximumMessageBytes, homes, fleet, executor)) {
+      sessions.add(session);
+      try {
+        session.run(authenticator, handshakeTimeout);
+      } finally {
+        sessions.remove(session);
+      }
+    } catch (IOException ended) {
+      Logger.info("peer at {}: {}", socket.getRemoteSocketAddress(), ended.getMessage());
+    }
+  }
+}
