--- /dev/null
+++ b/proxy/src/main/java/org/mimosacleat/proxy/command/PrintDefaultsCommand.java
@@ -0,0 +1,21 @@
+package org.mimosacleat.proxy.command;
+
+import org.mimosacleat.core.settings.SettingsPrinter;
+import org.mimosacleat.proxy.settings.ProxySchema;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Spec;
+
+/** The subcommand {@code print-defaults}: every key with its default and what is allowed. */
+@Command(
+    name = "print-defaults",
+    description = "Prints every settings key with its default and what is allowed.")
+final class PrintDefaultsCommand implements Runnable {
+  @Spec private CommandSpec specification;
+
+  @Override
+  public void run() {
+    specification.commandLine().getOut().print(SettingsPrinter.print(ProxySchema.SCHEMA));
+    specification.commandLine().getOut().flush();
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/mimosacleat/proxy/command/package-info.java
@@ -0,0 +1,2 @@
+/** The command line of the binary {@code mimosacleat}. */
+package org.mimosacleat.proxy.command;
