--- /dev/null
+++ b/lab/src/main/java/org/mimosacleat/lab/demo/FleetSettings.java
@@ -0,0 +1,99 @@
+package org.mimosacleat.lab.demo;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.mimosacleat.core.id.VmId;
+import org.mimosacleat.core.settings.Secret;
+import org.mimosacleat.proxy.settings.AuthenticationMode;
+import org.mimosacleat.proxy.settings.EndpointSettings;
+import org.mimosacleat.proxy.settings.GroupSettings;
+import org.mimosacleat.proxy.settings.LimitSettings;
+import org.mimosacleat.proxy.settings.ListenSettings;
+import org.mimosacleat.proxy.settings.MonitorSettings;
+import org.mimosacleat.proxy.settings.PeerSettings;
+import org.mimosacleat.proxy.settings.ProxySettings;
+import org.mimosacleat.proxy.settings.ProxySettingsReader;
+import org.mimosacleat.standin.endpoint.EndpointStandin;
+import org.mimosacleat.standin.endpoint.GroupStandin;
+
+/** Writes the settings of the proxies of a deployment on this machine. */
+final class FleetSettings {
+  static final int PORTS_PER_PROXY = 3;
+
+  private static final int CALLERS = 0;
+  private static final int PEERS = 1;
+  private static final int OPERATIONS = 2;
+  private static final Secret PEER_KEY = new Secret("key of a local demonstration");
+
+  private final FleetPlan plan;
+  private final List<InetSocketAddress> addresses;
+
+  FleetSettings(FleetPlan plan, List<InetSocketAddress> addresses) {
+    this.plan = plan;
+    this.addresses = addresses;
+  }
+
+  ProxySettings ofProxy(int number, List<GroupStandin> groups) {
+    return new ProxySettings(
+        peer(number),
+        new ListenSettings(
+            address(number, CALLERS), address(number, PEERS), address(number, OPERATIONS)),
+        limits(),
+        monitor(),
+        PEER_KEY,
+        AuthenticationMode.TRUST,
+        IntStream.range(0, plan.proxies())
+            .filter(other -> other != number)
+            .mapToObj(this::peer)
+            .toList(),
+        groups.stream().map(this::group).toList());
+  }
+
+  private PeerSettings peer(int number) {
+    return new PeerSettings(
+        new VmId("vm-" + (number + 1)), plan.zoneOf(number), address(number, PEERS));
+  }
+
+  private InetSocketAddress address(int number, int use) {
+    return addresses.get(number * PORTS_PER_PROXY + use);
+  }
+
+  private GroupSettings group(GroupStandin group) {
+    return new GroupSettings(
+        group.id(),
+        "mimosacleat",
+        new Secret(""),
+        "postgres",
+        plan.endpoints().slots(),
+        plan.endpoints().maximumConnections(),
+        group.endpoints().stream().map(FleetSettings::endpoint).toList());
+  }
+
+  private static EndpointSettings endpoint(EndpointStandin endpoint) {
+    return new EndpointSettings(endpoint.id(), endpoint.zone(), endpoint.address());
+  }
+
+  private static LimitSettings limits() {
+    return defaults().limits();
+  }
+
+  private static MonitorSettings monitor() {
+    return defaults().monitor();
+  }
+
+  /** Takes every value that a demonstration does not choose from the defaults of the schema. */
+  private static ProxySettings defaults() {
+    String required =
+        """
+        [node]
+        id = defaults
+        zone = defaults
+        address = 127.0.0.1:1
+        [fleet]
+        key = key of a local demonstration
+        """;
+    return ProxySettingsReader.read(required)
+        .getOrElseThrow(problems -> new IllegalStateException(problems.toString()));
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/org/mimosacleat/lab/demo/LocalFleet.java
@@ -0,0 +1,80 @@
+package org.mimosacleat.lab.demo;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.sql.Connection;
+import java.sql.DriverManager;
+import java.sql.SQLException;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Properties;
+import java.util.SplittableRandom;
+import org.mimosacleat.core.id.GroupId;
+import org.mimosacleat.core.time.MonotonicClock;
+import org.mimosacleat.proxy.node.ProxyNode;
+import org.mimosacleat.standin.endpoint.GroupStandin;
+
+/** Stand-in groups and real proxies in front of them, in this process, joined by TCP. */
+public final class LocalFleet implements AutoCloseable {
+  private static final String CUSTOMER = "members";
+
+  private final List<GroupStandin> groups;
+  private final List<ProxyNode> proxies;
+
+  private LocalFleet(List<GroupStandin> groups, List<ProxyNode> proxies) {
+    this.groups = groups;
+    this.proxies = proxies;
+  }
+
+  /** Starts everything. */
+  public static LocalFleet start(FleetPlan plan) throws IOException {
+    InstantSource clock = new MonotonicClock();
+    SplittableRandom random = new SplittableRandom(plan.seed());
+    List<GroupStandin> groups = new ArrayList<>();
+    for (GroupId id : plan.groups()) {
+      GroupStandin group =
+          new GroupStandin(
+              id,
+              plan.zones().subList(0, plan.instances()),
+              plan.endpoints(),
+              clock,
+              random.split());
+      group.start();
+      groups.add(group);
+    }
+    FleetSettings settings =
+        new FleetSettings(plan, FreePorts.find(plan.proxies() * FleetSettings.PORTS_PER_PROXY));
+    List<ProxyNode> proxies = new ArrayList<>();
+    for (int number = 0; number < plan.proxies(); number++) {
+      proxies.add(ProxyNode.start(settings.ofProxy(number, groups)));
+    }
+    return new LocalFleet(groups, proxies);
+  }
+
+  /** Returns the stand-in groups. */
+  public List<GroupStandin> groups() {
+    return groups;
+  }
+
+  /** Returns the proxies. */
+  public List<ProxyNode> proxies() {
+    return proxies;
+  }
+
+  /** Connects the stock driver to a proxy. */
+  public Connection connect(int proxy, GroupId group, String session) throws SQLException {
+    InetSocketAddress address = proxies.get(proxy).callerAddress();
+    Properties properties = new Properties();
+    properties.setProperty("user", CUSTOMER);
+    properties.setProperty("options", "-c mimosacleat.session=" + session);
+    String url = "jdbc:postgresql://127.0.0.1:" + address.getPort() + "/" + group;
+    return DriverManager.getConnection(url, properties);
+  }
+
+  @Override
+  public void close() {
+    proxies.forEach(ProxyNode::close);
+    groups.forEach(GroupStandin::close);
+  }
+}
--- a/lab/src/test/java/org/mimosacleat/lab/path/WholePathTest.java
+++ b/lab/src/test/java/org/mimosacleat/lab/path/WholePathTest.java
@@ -9,14 +9,18 @@
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
+import org.mimosacleat.core.id.GroupId;
+import org.mimosacleat.lab.demo.FleetPlan;
 import org.mimosacleat.lab.demo.LocalFleet;
 
 class WholePathTest {
+  private static final GroupId GROUP = new GroupId("lending-1");
+
   private static LocalFleet fleet;
 
   @BeforeAll
   static void start() throws Exception {
-    fleet = LocalFleet.start(2, java.util.List.of("lending-1"), 3);
+    fleet = LocalFleet.start(FleetPlan.small(GROUP.value()));
   }
 
   @AfterAll
@@ -26,8 +30,8 @@
 
   @Test
   void sessionReadsItsOwnWriteThroughTheOtherProxy() throws SQLException {
-    try (Connection first = fleet.connect(0, "lending-1", "session-a");
-        Connection second = fleet.connect(1, "lending-1", "session-a");
+    try (Connection first = fleet.connect(0, GROUP, "session-a");
+        Connection second = fleet.connect(1, GROUP, "session-a");
         Statement writing = first.createStatement();
         Statement reading = second.createStatement()) {
       writing.execute("CREATE TABLE IF NOT EXISTS booking (id text PRIMARY KEY, meter text)");
