--- /dev/null
+++ b/core/src/main/java/org/mimosacleat/core/membership/MembershipAction.java
@@ -0,0 +1,24 @@
+package org.mimosacleat.core.membership;
+
+import java.util.List;
+import org.mimosacleat.core.id.VmId;
+
+/** What a {@link MembershipMachine} asks for. */
+public sealed interface MembershipAction {
+  /**
+   * Send a message; it may be lost.
+   *
+   * @param to the receiver
+   * @param address the receiver's address
+   * @param message the message
+   */
+  record Send(VmId to, String address, MembershipMessage message) implements MembershipAction {}
+
+  /**
+   * Publish a new view.
+   *
+   * @param view the view
+   * @param explanations what changed and why, one line each, for the log
+   */
+  record ViewChanged(MembersView view, List<String> explanations) implements MembershipAction {}
+}
--- /dev/null
+++ b/core/src/main/java/org/mimosacleat/core/membership/Probe.java
@@ -0,0 +1,13 @@
+package org.mimosacleat.core.membership;
+
+import java.time.Instant;
+import org.mimosacleat.core.id.VmId;
+
+/**
+ * A ping that has not been acknowledged yet.
+ *
+ * @param target the VM that was pinged
+ * @param sentAt when
+ * @param helpersAsked whether helpers were asked as well
+ */
+record Probe(VmId target, Instant sentAt, boolean helpersAsked) {}
