--- /dev/null
+++ b/core/src/test/java/org/mimosacleat/core/credit/LedgerPropertyTest.java
@@ -0,0 +1,186 @@
+package org.mimosacleat.core.credit;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.mimosacleat.core.time.PausedClock;
+
+/**
+ * Spends as much as the caps allow while two machines race for the ledger, restart, lose answers
+ * and do without the store for hours.
+ */
+class LedgerPropertyTest {
+  private static final Duration STEP = Duration.ofMinutes(1);
+  private static final int STEPS = 2 * 24 * 60;
+  private static final double EVEN_RATE = 1000;
+  private static final PaceSettings SETTINGS =
+      new PaceSettings(Duration.ofMinutes(10), 100, 6000, 0.005);
+
+  /** Which part of the rule is left out, for the check of the check. */
+  private enum Variant {
+    CORRECT,
+    UNKNOWN_SPENDING_IS_TAKEN_AS_NONE,
+    LAST_CAP_STAYS_DURING_AN_OUTAGE
+  }
+
+  @Property(seed = "5005", tries = 100)
+  void neverMoreIsSpentThanGranted(@ForAll long seed) {
+    assertEquals("", new Run(seed, Variant.CORRECT).firstFault());
+  }
+
+  @Example
+  void theCheckFindsEachWrongVariant() {
+    for (Variant variant : Variant.values()) {
+      if (variant != Variant.CORRECT) {
+        assertNotEquals("", anyFault(variant), variant.name());
+      }
+    }
+  }
+
+  @Example
+  void lostAnswerAfterWriteTookEffectIsNotDebitedTwice() {
+    PausedClock clock = new PausedClock();
+    LedgerMachine machine = new LedgerMachine(pacer(clock), clock, new SplittableRandom(1));
+    machine.step(new LedgerInput.Tick(OptionalLong.empty(), 0));
+    LedgerAction first = machine.step(new LedgerInput.RowRead(Optional.empty())).getFirst();
+    final LedgerRow written = ((LedgerAction.Write) first).row();
+    machine.step(new LedgerInput.Lost());
+    clock.advance(Duration.ofMinutes(5));
+
+    assertEquals(
+        new LedgerAction.Read(),
+        machine.step(new LedgerInput.Tick(OptionalLong.empty(), 0)).getFirst());
+    assertTrue(machine.step(new LedgerInput.RowRead(Optional.of(written))).isEmpty());
+    assertEquals(Optional.of(written), machine.row());
+  }
+
+  @Example
+  void loserOfTheRaceSpendsByTheRowOfTheWinner() {
+    PausedClock clock = new PausedClock();
+    LedgerMachine loser = new LedgerMachine(pacer(clock), clock, new SplittableRandom(1));
+    loser.step(new LedgerInput.Tick(OptionalLong.empty(), 0));
+    loser.step(new LedgerInput.RowRead(Optional.empty()));
+    assertEquals(0, loser.cap());
+    loser.step(new LedgerInput.Conflict());
+    Instant until = clock.instant().plusSeconds(600);
+    LedgerRow winner =
+        new LedgerRow(1, "other", clock.instant(), until, 6000, 100_000, DemandProfile.UNKNOWN);
+    loser.step(new LedgerInput.RowRead(Optional.of(winner)));
+
+    assertEquals(10, loser.cap(), 0.001);
+  }
+
+  private static String anyFault(Variant variant) {
+    for (long seed = 1; seed <= 40; seed++) {
+      String fault = new Run(seed, variant).firstFault();
+      if (!fault.isEmpty()) {
+        return fault;
+      }
+    }
+    return "";
+  }
+
+  private static CreditPacer pacer(PausedClock clock) {
+    Instant start = clock.instant();
+    Instant expiry = start.plus(STEP.multipliedBy(STEPS));
+    long granted = (long) (EVEN_RATE * STEP.toSeconds() * STEPS);
+    return new CreditPacer(new CreditGrant(granted, start, expiry), SETTINGS);
+  }
+
+  private static final class Run {
+    private final SplittableRandom random;
+    private final Variant variant;
+    private final PausedClock clock = new PausedClock();
+    private final CreditPacer pacer = pacer(clock);
+    private final FakeLedger ledger;
+    private final LedgerMachine[] machines = new LedgerMachine[2];
+    private final double[] lastCaps = new double[2];
+    private final Map<Instant, Double> spentBy = new HashMap<>();
+    private final boolean outageUntilExpiry;
+    private double spent;
+
+    Run(long seed, Variant variant) {
+      this.random = new SplittableRandom(seed);
+      this.variant = variant;
+      this.ledger = new FakeLedger(random.split());
+      this.outageUntilExpiry = random.nextInt(3) == 0;
+      this.spentBy.put(clock.instant(), 0.0);
+      restart(0);
+      restart(1);
+    }
+
+    private void restart(int index) {
+      machines[index] = new LedgerMachine(pacer, clock, random.split());
+    }
+
+    String firstFault() {
+      for (int step = 0; step < STEPS; step++) {
+        double demand = !ledger.down && random.nextInt(3) == 0 ? 0 : 6000;
+        spent += Math.min(demand, cap()) * STEP.toSeconds();
+        if (spent > pacer.grant().microcredits()) {
+          return "overspent at step " + step;
+        }
+        clock.advance(STEP);
+        spentBy.put(clock.instant(), spent);
+        disturb(step);
+        for (LedgerMachine machine : machines) {
+          if (random.nextInt(3) > 0) {
+            tick(machine, demand);
+          }
+        }
+      }
+      return "";
+    }
+
+    private double cap() {
+      for (int index = 0; index < machines.length; index++) {
+        boolean keeps = variant == Variant.LAST_CAP_STAYS_DURING_AN_OUTAGE && ledger.down;
+        lastCaps[index] = keeps ? lastCaps[index] : machines[index].cap();
+      }
+      return Arrays.stream(lastCaps).max().orElse(0);
+    }
+
+    private void disturb(int step) {
+      if (outageUntilExpiry && step > STEPS / 2) {
+        ledger.down = true;
+      } else if (random.nextInt(ledger.down ? 180 : 300) == 0) {
+        ledger.down = !ledger.down;
+      }
+      if (random.nextInt(200) == 0) {
+        restart(random.nextInt(2));
+      }
+      if (random.nextInt(20) == 0) {
+        ledger.applyLateWrites();
+      }
+    }
+
+    private void tick(LedgerMachine machine, double demand) {
+      OptionalLong seen = random.nextBoolean() ? spentSinceRow(machine) : OptionalLong.empty();
+      if (variant == Variant.UNKNOWN_SPENDING_IS_TAKEN_AS_NONE && seen.isEmpty()) {
+        seen = OptionalLong.of(0);
+      }
+      var actions = machine.step(new LedgerInput.Tick(seen, demand));
+      while (!actions.isEmpty()) {
+        actions = machine.step(ledger.perform(actions.getFirst()));
+      }
+    }
+
+    private OptionalLong spentSinceRow(LedgerMachine machine) {
+      return machine.row().stream()
+          .mapToLong(row -> (long) Math.ceil(spent - spentBy.get(row.from())))
+          .findFirst();
+    }
+  }
+}
