--- /dev/null
+++ b/wire/src/main/java/org/mimosacleat/wire/postgres/authentication/ScramClient.java
@@ -0,0 +1,83 @@
+package org.mimosacleat.wire.postgres.authentication;
+
+import com.ongres.scram.common.StringPreparation;
+import com.ongres.scram.common.exception.ScramException;
+import io.vavr.control.Either;
+import java.util.List;
+import org.mimosacleat.core.error.ErrorKind;
+import org.mimosacleat.core.error.Failure;
+import org.mimosacleat.wire.postgres.Frame;
+import org.mimosacleat.wire.postgres.FrameException;
+
+/**
+ * The client side of one SCRAM-SHA-256 exchange.
+ *
+ * <p>Pass the server's offer to {@link #first}, its first message to {@link #last}, and its last
+ * message to {@link #verify}; send what the first two return. A server that cannot prove that it
+ * knows the verifier is refused.
+ */
+public final class ScramClient {
+  private static final String MECHANISM = ScramVerifier.MECHANISM.getName();
+
+  private final com.ongres.scram.client.ScramClient client;
+
+  /** Begins an exchange; the password is not kept after {@link #last}. */
+  public ScramClient(String user, char[] password) {
+    this.client =
+        com.ongres.scram.client.ScramClient.builder()
+            .advertisedMechanisms(List.of(MECHANISM))
+            .username(user)
+            .password(password.clone())
+            .stringPreparation(StringPreparation.POSTGRESQL_PREPARATION)
+            .build();
+  }
+
+  /** Reads the offer and returns the client's first message. */
+  public Either<Failure, Frame> first(Frame offer) {
+    try {
+      List<String> mechanisms = AuthenticationFrames.offeredMechanisms(offer);
+      if (!mechanisms.contains(MECHANISM)) {
+        return refused("the server offers " + mechanisms + ", but not " + MECHANISM);
+      }
+      String message = client.clientFirstMessage().toString();
+      return Either.right(AuthenticationFrames.initialResponse(MECHANISM, message));
+    } catch (FrameException malformed) {
+      return violation(malformed);
+    }
+  }
+
+  /** Reads the server's first message and returns the client's proof. */
+  public Either<Failure, Frame> last(Frame serverFirst) {
+    try {
+      client.serverFirstMessage(
+          AuthenticationFrames.readServerMessage(serverFirst, AuthenticationFrames.SASL_CONTINUE));
+      return Either.right(AuthenticationFrames.response(client.clientFinalMessage().toString()));
+    } catch (FrameException malformed) {
+      return violation(malformed);
+    } catch (ScramException | IllegalArgumentException malformed) {
+      return violation(malformed);
+    }
+  }
+
+  /** Checks the server's proof and returns the frame that carried it. */
+  public Either<Failure, Frame> verify(Frame serverFinal) {
+    try {
+      client.serverFinalMessage(
+          AuthenticationFrames.readServerMessage(serverFinal, AuthenticationFrames.SASL_FINAL));
+      return Either.right(serverFinal);
+    } catch (FrameException malformed) {
+      return violation(malformed);
+    } catch (ScramException | IllegalArgumentException wrong) {
+      return refused("the server did not prove that it knows the password");
+    }
+  }
+
+  private static Either<Failure, Frame> refused(String detail) {
+    return Either.left(new Failure(ErrorKind.AUTHENTICATION_FAILED, detail));
+  }
+
+  private static Either<Failure, Frame> violation(Exception malformed) {
+    return Either.left(
+        new Failure(ErrorKind.PROTOCOL_VIOLATION, "SCRAM: " + malformed.getMessage()));
+  }
+}
