Let the endpoint stand-in ask for a password

Proxies have to be tried against an endpoint that refuses a wrong password. EndpointSettings takes a verifier; without one all users are trusted as before.

--- a/standin/src/main/java/org/mimosacleat/standin/endpoint/EndpointStandin.java
+++ b/standin/src/main/java/org/mimosacleat/standin/endpoint/EndpointStandin.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
@@ -19,10 +20,12 @@
 import org.mimosacleat.core.id.AvailabilityZone;
 import org.mimosacleat.core.id.EndpointId;
 import org.mimosacleat.core.position.Position;
+import org.mimosacleat.wire.postgres.FrameException;
 import org.mimosacleat.wire.postgres.FrameReader;
 import org.mimosacleat.wire.postgres.FrameWriter;
 import org.mimosacleat.wire.postgres.Frames;
 import org.mimosacleat.wire.postgres.StartupPacket;
+import org.mimosacleat.wire.postgres.authentication.ScramVerifier;
 
 /**
  * One database instance in memory that speaks the PostgreSQL protocol on a port of 127.0.0.1.
@@ -252,11 +255,7 @@
       socket.setTcpNoDelay(true);
       faults.awaitServing();
       FrameReader reader = new FrameReader(socket.getInputStream(), MAXIMUM_FRAME_BYTES);
-      switch (Handshake.read(reader, socket.getOutputStream())) {
-        case StartupPacket.Cancel cancel -> cancel(cancel);
-        case StartupPacket.Startup startup -> admit(socket, reader, generation, own);
-        default -> throw new IOException("startup packet expected");
-      }
+      greet(socket, reader, generation, own);
     } catch (IOException | InterruptedException broken) {
       // The client or a failure that was switched on has ended the connection.
     } finally {
@@ -264,6 +263,20 @@
     }
   }
 
+  private void greet(Socket socket, FrameReader reader, long generation, RandomGenerator own)
+      throws IOException, InterruptedException {
+    try {
+      switch (Handshake.read(reader, socket.getOutputStream())) {
+        case StartupPacket.Cancel cancel -> cancel(cancel);
+        case StartupPacket.Startup startup -> admit(startup, socket, reader, generation, own);
+        default -> throw new IOException("startup packet expected");
+      }
+    } catch (FrameException malformed) {
+      new FrameWriter(socket.getOutputStream())
+          .write(Frames.error("FATAL", SqlError.PROTOCOL_VIOLATION, malformed.getMessage(), ""));
+    }
+  }
+
   private void cancel(StartupPacket.Cancel cancel) {
     Session session = sessions.get(new BackendKey(cancel.processId(), cancel.secretKey()));
     if (session != null) {
@@ -271,7 +284,12 @@
     }
   }
 
-  private void admit(Socket socket, FrameReader reader, long generation, RandomGenerator own)
+  private void admit(
+      StartupPacket.Startup startup,
+      Socket socket,
+      FrameReader reader,
+      long generation,
+      RandomGenerator own)
       throws IOException, InterruptedException {
     FrameWriter writer = new FrameWriter(socket.getOutputStream());
     try {
@@ -282,6 +300,11 @@
       }
       Thread.sleep(settings.connectDelay());
       faults.awaitServing();
+      String user = startup.parameters().getOrDefault("user", "");
+      Optional<ScramVerifier> verifier = settings.verifier();
+      if (verifier.isPresent() && !Handshake.authenticate(user, verifier.get(), reader, writer)) {
+        return;
+      }
       open(socket, reader, writer, generation, own);
     } finally {
       openConnections.decrementAndGet();
--- a/standin/src/main/java/org/mimosacleat/standin/endpoint/Handshake.java
+++ b/standin/src/main/java/org/mimosacleat/standin/endpoint/Handshake.java
@@ -1,20 +1,28 @@
 package org.mimosacleat.standin.endpoint;
 
+import io.vavr.control.Either;
 import java.io.IOException;
 import java.io.OutputStream;
+import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import org.mimosacleat.core.error.Failure;
 import org.mimosacleat.wire.postgres.Frame;
 import org.mimosacleat.wire.postgres.FrameReader;
+import org.mimosacleat.wire.postgres.FrameWriter;
 import org.mimosacleat.wire.postgres.Frames;
 import org.mimosacleat.wire.postgres.StartupPacket;
 import org.mimosacleat.wire.postgres.TransactionStatus;
+import org.mimosacleat.wire.postgres.authentication.ScramServer;
+import org.mimosacleat.wire.postgres.authentication.ScramVerifier;
 
 /** The first packets of a connection. */
 final class Handshake {
   private static final int REFUSE_ENCRYPTION = 'N';
 
+  private static final SecureRandom NONCES = new SecureRandom();
+
   private Handshake() {}
 
   /** Reads the startup packet and refuses encryption on the way. */
@@ -29,6 +37,23 @@
     return packet;
   }
 
+  /** Checks the client's password; on a failure the client is told and false is returned. */
+  static boolean authenticate(
+      String user, ScramVerifier verifier, FrameReader reader, FrameWriter writer)
+      throws IOException {
+    ScramServer server = new ScramServer(user, verifier, NONCES);
+    writer.write(server.offer());
+    Either<Failure, Frame> first = server.first(reader.read());
+    if (first.isLeft()) {
+      writer.write(Frames.fatal(first.getLeft()));
+      return false;
+    }
+    writer.write(first.get());
+    Either<Failure, Frame> last = server.last(reader.read());
+    writer.write(last.getOrElseGet(Frames::fatal));
+    return last.isRight();
+  }
+
   /** Returns the frames that open a session. */
   static List<Frame> welcome(BackendKey key, boolean replica) {
     Map<String, String> parameters =
