End connections that a killed stand-in had accepted already

killLosesTheOpenTransaction... failed once in a whole run: a connection that was accepted just before the kill was served after it, because the kill closed only the sockets that were registered by then. A connection now checks that its start of the instance is still the present one, and kill waits until the accepting thread has let go of the port.

--- a/standin/src/main/java/org/mimosacleat/standin/endpoint/EndpointStandin.java
+++ b/standin/src/main/java/org/mimosacleat/standin/endpoint/EndpointStandin.java
@@ -13,8 +13,10 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.random.RandomGenerator;
 import org.mimosacleat.core.id.AvailabilityZone;
@@ -56,6 +58,7 @@
   private final AtomicInteger openConnections = new AtomicInteger();
   private final AtomicInteger nextProcessId = new AtomicInteger(1);
   private volatile ServerSocket listener;
+  private volatile Future<?> acceptLoop;
   private volatile Follower follower;
   private volatile boolean running;
   private volatile boolean leaving;
@@ -231,7 +234,7 @@
       opened.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), BACKLOG);
       port = opened.getLocalPort();
       listener = opened;
-      executor.execute(() -> accept(opened, generation));
+      acceptLoop = executor.submit(() -> accept(opened, generation));
     } catch (IOException error) {
       throw new UncheckedIOException("cannot listen on port " + port, error);
     }
@@ -252,6 +255,9 @@
   private void serve(Socket socket, long generation, RandomGenerator own) {
     sockets.add(socket);
     try (socket) {
+      if (!running || state.generation() != generation) {
+        return;
+      }
       socket.setTcpNoDelay(true);
       faults.awaitServing();
       FrameReader reader = new FrameReader(socket.getInputStream(), MAXIMUM_FRAME_BYTES);
@@ -330,11 +336,17 @@
     return new SplittableRandom(random.nextLong());
   }
 
+  /** Closes the port and waits for the accepting thread, which holds it open until it ends. */
   private void closeListener() {
     try {
       listener.close();
+      acceptLoop.get();
     } catch (IOException error) {
       throw new UncheckedIOException("cannot close port " + port, error);
+    } catch (ExecutionException error) {
+      throw new IllegalStateException("cannot accept on port " + port, error);
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
     }
   }
 
