Reach the platform through the AWS SDK, and stand in for it over HTTP

Cause: the interfaces had fakes alone. Change: DynamoDB and S3 adapters with a hard timeout for each call and no retries of the SDK's own; pacing and settling decorators put together in AwsPlatform; PlatformStandin speaks the calls used over the JDK's HTTP server with the fakes and their faults behind.

--- /dev/null
+++ b/standin/src/test/java/org/mimosacleat/standin/platform/AwsPlatformTest.java
@@ -0,0 +1,194 @@
+package org.mimosacleat.standin.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.mimosacleat.core.id.AvailabilityZone;
+import org.mimosacleat.core.id.Region;
+import org.mimosacleat.core.id.VmId;
+import org.mimosacleat.core.lists.ListKind;
+import org.mimosacleat.core.lists.ListVersion;
+import org.mimosacleat.core.store.StoreGate;
+import org.mimosacleat.core.store.StoreLimits;
+import org.mimosacleat.core.time.MonotonicClock;
+import org.mimosacleat.core.time.Sleeper;
+import org.mimosacleat.core.vmlist.ListedState;
+import org.mimosacleat.core.vmlist.VmListing;
+import org.mimosacleat.core.vmlist.VmRecord;
+import org.mimosacleat.platform.aws.AwsPlatform;
+import org.mimosacleat.platform.lists.ListEdit;
+import org.mimosacleat.platform.lists.ListPublisher;
+import org.mimosacleat.platform.lists.PublishResult;
+import org.mimosacleat.platform.object.ObjectKey;
+import org.mimosacleat.platform.object.ObjectPut;
+import org.mimosacleat.platform.object.ObjectRead;
+import org.mimosacleat.platform.object.PutCondition;
+import org.mimosacleat.platform.object.PutResult;
+import org.mimosacleat.platform.store.StorePacer;
+import org.mimosacleat.platform.store.WriteId;
+import org.mimosacleat.platform.table.Attributes;
+import org.mimosacleat.platform.table.Row;
+import org.mimosacleat.platform.table.RowCondition;
+import org.mimosacleat.platform.table.RowKey;
+import org.mimosacleat.platform.table.RowWrite;
+import org.mimosacleat.platform.table.WriteResult;
+
+/** Runs the adapters with the real SDK against the stand-in. */
+class AwsPlatformTest {
+  private static final Duration TIMEOUT = Duration.ofSeconds(10);
+  private static final Duration SHORT = Duration.ofMillis(200);
+  private static final RowKey KEY = new RowKey("lease", "lending-1");
+
+  private final MonotonicClock clock = new MonotonicClock();
+  private PlatformStandin standin;
+  private AwsPlatform platform;
+
+  @BeforeEach
+  void start() throws IOException {
+    standin = PlatformStandin.start(InetAddress.getLoopbackAddress());
+    platform = new AwsPlatform(standin.settings(), pacer(), pacer(), clock);
+  }
+
+  @AfterEach
+  void stop() {
+    platform.close();
+    standin.close();
+  }
+
+  @Test
+  void rowsAreCreatedChangedListedAndDeletedUnderConditions() {
+    RowWrite.Put created = put(new RowCondition.Absent(), "first", 1);
+    assertTrue(write(created).isApplied());
+    Row row = platform.table().get(KEY, TIMEOUT).get().orElseThrow();
+    assertEquals(created.row(), row);
+
+    assertInstanceOf(
+        WriteResult.ConditionFailed.class, write(put(new RowCondition.Absent(), "other", 9)));
+    RowWrite.Put changed = put(row.unchanged(), "second", 2);
+    assertTrue(write(changed).isApplied());
+    assertInstanceOf(WriteResult.ConditionFailed.class, write(put(row.unchanged(), "third", 3)));
+    assertEquals(List.of(changed.row()), platform.table().list("lease", TIMEOUT).get());
+    assertTrue(write(new RowWrite.Delete(KEY, changed.row().unchanged())).isApplied());
+    assertEquals(Optional.empty(), platform.table().get(KEY, TIMEOUT).get());
+  }
+
+  @Test
+  void lostAnswerIsSettledOverHttp() {
+    standin.tableFaults().loseNextAnswers(1);
+
+    assertTrue(write(put(new RowCondition.Absent(), "mine", 1)).isApplied());
+    assertEquals(1, platform.table().get(KEY, TIMEOUT).get().orElseThrow().version());
+  }
+
+  @Test
+  void slowStoreEndsTheCallAndTheOutcomeIsUnknown() {
+    standin.tableFaults().setDelay(Duration.ofSeconds(3));
+
+    WriteResult result = platform.table().write(put(new RowCondition.Absent(), "mine", 1), SHORT);
+
+    assertInstanceOf(WriteResult.Unknown.class, result);
+    assertTrue(platform.table().get(KEY, SHORT).isLeft());
+  }
+
+  @Test
+  void storeThatCannotBeReachedTookNothingIn() {
+    standin.close();
+
+    WriteResult result = write(put(new RowCondition.Absent(), "mine", 1));
+
+    assertInstanceOf(WriteResult.NotSent.class, result);
+  }
+
+  @Test
+  void objectsAreStoredUnderConditionsAndListed() {
+    ObjectKey key = new ObjectKey("lists/plans/1 & <2>");
+    PutResult.Stored stored =
+        assertInstanceOf(PutResult.Stored.class, put(key, new PutCondition.Absent(), "a", "ā"));
+    assertInstanceOf(
+        PutResult.ConditionFailed.class, put(key, new PutCondition.Absent(), "b", "other"));
+    PutCondition matches = new PutCondition.Matches(stored.tag());
+    standin.objectFaults().loseNextAnswers(1);
+    assertInstanceOf(PutResult.Stored.class, put(key, matches, "c", "whare"));
+
+    ObjectRead.Found found =
+        assertInstanceOf(
+            ObjectRead.Found.class,
+            platform.objects().get(key, Optional.of(stored.tag()), TIMEOUT).get());
+    assertEquals("whare", found.object().text());
+    assertEquals(new WriteId("c"), found.object().writer());
+    assertInstanceOf(
+        ObjectRead.NotModified.class,
+        platform.objects().get(key, Optional.of(found.object().tag()), TIMEOUT).get());
+    assertEquals(List.of(key), platform.objects().list("lists/", "lists/", TIMEOUT).get());
+    assertInstanceOf(
+        ObjectRead.Missing.class,
+        platform.objects().get(new ObjectKey("none"), Optional.empty(), TIMEOUT).get());
+  }
+
+  @Test
+  void listOfVmsIsReadAndReadAgainWhenItChanges() {
+    VmListing first = listing("entry-1");
+    assertTrue(platform.vmList().read(TIMEOUT).isLeft());
+
+    standin.writeVmList(first, new WriteId("vms-1"));
+    assertEquals(first, platform.vmList().read(TIMEOUT).get());
+    assertEquals(first, platform.vmList().read(TIMEOUT).get());
+    VmListing second = listing("entry-2");
+    standin.writeVmList(second, new WriteId("vms-2"));
+    assertEquals(second, platform.vmList().read(TIMEOUT).get());
+  }
+
+  @Test
+  void listIsPublishedByTransactionOverHttp() {
+    ListPublisher publisher =
+        new ListPublisher(platform.table(), platform.objects(), clock, new Random(3));
+    ListEdit edit = new ListEdit(ListKind.PLANS, ListVersion.NONE, "ana", "", "# none yet\n");
+    standin.tableFaults().loseNextAnswers(1);
+
+    assertInstanceOf(PublishResult.Accepted.class, publisher.publish(edit, TIMEOUT));
+    assertInstanceOf(PublishResult.LostRace.class, publisher.publish(edit, TIMEOUT));
+  }
+
+  private WriteResult write(RowWrite write) {
+    return platform.table().write(write, TIMEOUT);
+  }
+
+  private PutResult put(ObjectKey key, PutCondition condition, String id, String text) {
+    return platform.objects().put(new ObjectPut(key, condition, new WriteId(id), text), TIMEOUT);
+  }
+
+  private static RowWrite.Put put(RowCondition condition, String id, long token) {
+    return new RowWrite.Put(
+        KEY, condition, new WriteId(id), Attributes.NONE.with("fencing-token", token));
+  }
+
+  private static VmListing listing(String name) {
+    VmRecord vm =
+        new VmRecord(
+            new VmId(name),
+            new InetSocketAddress(InetAddress.getLoopbackAddress(), 7000),
+            new AvailabilityZone("tamaki"),
+            new Region("aotearoa"),
+            ListedState.LIVE);
+    return new VmListing(Instant.parse("2026-01-01T00:00:00Z"), List.of(vm), List.of());
+  }
+
+  private StorePacer pacer() {
+    StoreLimits limits =
+        new StoreLimits(
+            1000, 100, Duration.ofMillis(10), Duration.ofMillis(50), Duration.ofMillis(10));
+    return new StorePacer(new StoreGate(limits, clock, new Random(1)), clock, Sleeper.SYSTEM);
+  }
+}
--- /dev/null
+++ b/standin/src/test/java/org/mimosacleat/standin/platform/PacedTableServiceTest.java
@@ -0,0 +1,63 @@
+package org.mimosacleat.standin.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.mimosacleat.core.store.StoreGate;
+import org.mimosacleat.core.store.StoreLimits;
+import org.mimosacleat.core.time.PausedClock;
+import org.mimosacleat.platform.store.StorePacer;
+import org.mimosacleat.platform.store.WriteId;
+import org.mimosacleat.platform.table.Attributes;
+import org.mimosacleat.platform.table.PacedTableService;
+import org.mimosacleat.platform.table.RowCondition;
+import org.mimosacleat.platform.table.RowKey;
+import org.mimosacleat.platform.table.RowWrite;
+import org.mimosacleat.platform.table.TableService;
+import org.mimosacleat.platform.table.WriteResult;
+
+class PacedTableServiceTest {
+  private static final long SEED = 11;
+  private static final Duration TIMEOUT = Duration.ofSeconds(1);
+  private static final RowKey KEY = new RowKey("lease", "lending-1");
+
+  private final PausedClock clock = new PausedClock();
+  private final Faults faults = new Faults(clock::advance);
+  private final StoreLimits limits =
+      new StoreLimits(10, 1, Duration.ofSeconds(1), Duration.ofSeconds(30), Duration.ofSeconds(10));
+  private final TableService table =
+      new PacedTableService(
+          new FakeTableService(faults),
+          new StorePacer(new StoreGate(limits, clock, new Random(SEED)), clock, clock::advance));
+
+  @Test
+  void callWaitsForItsTurnWithinItsTimeout() {
+    assertTrue(table.get(KEY, TIMEOUT).isRight());
+    var before = clock.instant();
+    assertTrue(table.get(KEY, TIMEOUT).isRight());
+
+    assertTrue(clock.instant().isAfter(before), "seed " + SEED);
+  }
+
+  @Test
+  void storeThatIsDownIsAskedRarelyAndWritesAreNotSent() {
+    faults.setDown(true);
+    WriteResult last = null;
+    for (int call = 0; call < 1000; call++) {
+      last = table.write(put(), Duration.ofMillis(1));
+      clock.advance(Duration.ofMillis(100));
+    }
+
+    assertInstanceOf(WriteResult.NotSent.class, last);
+    assertTrue(faults.writes() < 30, faults.writes() + " writes, seed " + SEED);
+    assertEquals(0, faults.reads());
+  }
+
+  private static RowWrite put() {
+    return new RowWrite.Put(KEY, new RowCondition.Absent(), new WriteId("mine"), Attributes.NONE);
+  }
+}
