--- a/core/src/main/java/org/mimosacleat/core/acknowledgement/AcknowledgementTracker.java
+++ b/core/src/main/java/org/mimosacleat/core/acknowledgement/AcknowledgementTracker.java
@@ -34,12 +34,12 @@
    */
   void termStarted(Reign reign);
 
-  /** Fails the writes whose deadline has passed. */
-  void tick();
-
   /**
-   * Returns a moment at which the primary was not replaced yet: when the questions were sent to
-   * which a majority of the members last answered that no later term fenced them.
+   * Stops: all writes that wait, and those registered from now on, fail until a term starts. The
+   * home calls it when it loses the lease, when it gains it, and when a promotion begins.
    */
-  Instant provenAt();
+  void withdrawn();
+
+  /** Fails the writes whose deadline has passed. */
+  void tick();
 }
--- a/core/src/main/java/org/mimosacleat/core/acknowledgement/Confirmation.java
+++ b/core/src/main/java/org/mimosacleat/core/acknowledgement/Confirmation.java
@@ -1,7 +1,5 @@
 package org.mimosacleat.core.acknowledgement;
 
-import java.time.Duration;
-import java.time.Instant;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -15,13 +13,13 @@
  * @param reign the term
  * @param answers the latest answer of each member
  * @param confirmed enough replicas hold the log up to here
- * @param provenAt at this moment no later term had fenced a majority of the members
+ * @param open whether writes may be acknowledged
  */
 record Confirmation(
-    Reign reign, Map<EndpointId, PollAnswer> answers, Position confirmed, Instant provenAt) {
+    Reign reign, Map<EndpointId, PollAnswer> answers, Position confirmed, boolean open) {
 
   static Confirmation none(Reign reign) {
-    return new Confirmation(reign, Map.of(), Position.NONE, Instant.MIN);
+    return new Confirmation(reign, Map.of(), Position.NONE, true);
   }
 
   Confirmation with(PollAnswer answer) {
@@ -33,19 +31,23 @@
     Map<EndpointId, PollAnswer> latest = new HashMap<>(answers);
     latest.put(answer.endpoint(), answer);
     return new Confirmation(
-        reign,
-        Map.copyOf(latest),
-        Position.latest(confirmed, confirmedBy(latest)),
-        laterOf(provenAt, provenBy(latest)));
+        reign, Map.copyOf(latest), Position.latest(confirmed, confirmedBy(latest)), open);
+  }
+
+  Confirmation closed() {
+    return new Confirmation(reign, answers, confirmed, false);
+  }
+
+  boolean accepts(Position commit) {
+    return open && commit.term().equals(reign.term());
   }
 
   boolean confirms(Position commit) {
-    return commit.term().equals(reign.term())
-        && (reign.confirmationsNeeded() == 0 || confirmed.includes(commit));
+    return accepts(commit) && isHeldByMajority(commit);
   }
 
-  boolean isProvenWithin(Duration lifetime, Instant now) {
-    return now.isBefore(provenAt.plus(lifetime));
+  private boolean isHeldByMajority(Position commit) {
+    return reign.confirmationsNeeded() == 0 || confirmed.includes(commit);
   }
 
   private Position confirmedBy(Map<EndpointId, PollAnswer> latest) {
@@ -60,21 +62,7 @@
     return needed == 0 || received.size() < needed ? Position.NONE : received.get(needed - 1);
   }
 
-  private Instant provenBy(Map<EndpointId, PollAnswer> latest) {
-    List<Instant> asked =
-        latest.values().stream()
-            .filter(this::isUnfenced)
-            .map(PollAnswer::askedAt)
-            .sorted(Comparator.reverseOrder())
-            .toList();
-    return asked.size() < reign.majority() ? Instant.MIN : asked.get(reign.majority() - 1);
-  }
-
   private boolean isUnfenced(PollAnswer answer) {
     return !answer.fencedAt().isAfter(reign.term());
   }
-
-  private static Instant laterOf(Instant first, Instant second) {
-    return first.isAfter(second) ? first : second;
-  }
 }
--- a/core/src/main/java/org/mimosacleat/core/routing/FreshnessRouter.java
+++ b/core/src/main/java/org/mimosacleat/core/routing/FreshnessRouter.java
@@ -21,11 +21,10 @@
  * Sends a read to a replica only if term and position prove that it is fresh enough.
  *
  * <p>While the home holds the lease, every acknowledged write of the group went through it, so its
- * own records say what a read needs. Without the lease it needs a proof that was asked for after
- * the read arrived. Among the proven replicas the less busy of two drawn at random is taken. If
- * none is proven, the read waits for a short time when a replica is likely to catch up within it,
- * and goes to the primary otherwise. The router holds no state and may be shared by threads if the
- * random generator may.
+ * own records say what a read needs; without the lease nothing is sent. Among the proven replicas
+ * the less busy of two drawn at random is taken. If none is proven, the read waits for a short time
+ * when a replica is likely to catch up within it, and goes to the primary otherwise. The router
+ * holds no state and may be shared by threads if the random generator may.
  */
 public final class FreshnessRouter implements Router {
   private final InstantSource clock;
@@ -53,11 +52,8 @@
     if (!clock.instant().isBefore(request.deadline())) {
       return refuse(ErrorKind.DEADLINE_BEFORE_START, "the deadline passed before an endpoint");
     }
-    if (request.kind().mayWrite()) {
-      return toPrimary(request, knowledge.snapshot());
-    }
-    if (!knowledge.isAuthoritativeAt(request.arrivedAt())) {
-      return new RouteDecision.AwaitProof(request.deadline());
+    if (!knowledge.leaseHeld()) {
+      return refuse(ErrorKind.NOT_HOME, "the lease of the group is not held");
     }
     if (!request.mayLeavePrimary()) {
       return toPrimary(request, knowledge.snapshot());
@@ -91,9 +87,6 @@
 
   /** Returns the position that a replica has to show, or empty if only the primary will do. */
   private static Optional<Position> needed(RouteRequest request, GroupKnowledge knowledge) {
-    if (!knowledge.leaseHeld()) {
-      return knowledge.history().including(request.arrivedAt());
-    }
     return switch (request.freshness()) {
       case Freshness.Latest() -> Optional.empty();
       case Freshness.OwnWrites(Optional<Position> required) -> required;
--- a/core/src/main/java/org/mimosacleat/core/routing/GroupKnowledge.java
+++ b/core/src/main/java/org/mimosacleat/core/routing/GroupKnowledge.java
@@ -1,6 +1,5 @@
 package org.mimosacleat.core.routing;
 
-import java.time.Instant;
 import java.util.Optional;
 import org.mimosacleat.core.check.Checks;
 import org.mimosacleat.core.group.GroupSnapshot;
@@ -13,25 +12,16 @@
  * @param history the proven positions of the primary of the snapshot's term
  * @param acknowledged a position that includes every acknowledged write, or empty if none is known
  * @param leaseHeld whether the home holds the lease of the group by its own clock
- * @param provenAt a moment at which the primary was not replaced yet: the time of the question of a
- *     round of polls in which a majority of the endpoints answered that no later term fenced them
  */
 public record GroupKnowledge(
     GroupSnapshot snapshot,
     PrimaryHistory history,
     Optional<Position> acknowledged,
-    boolean leaseHeld,
-    Instant provenAt) {
+    boolean leaseHeld) {
   /** Checks the parts. */
   public GroupKnowledge {
     Checks.notNull("snapshot", snapshot);
     Checks.notNull("history", history);
     Checks.notNull("acknowledged position", acknowledged);
-    Checks.notNull("time of the proof", provenAt);
-  }
-
-  /** Tells whether no other primary can have acknowledged a write before {@code moment}. */
-  boolean isAuthoritativeAt(Instant moment) {
-    return leaseHeld || !provenAt.isBefore(moment);
   }
 }
--- a/core/src/main/java/org/mimosacleat/core/routing/RouteDecision.java
+++ b/core/src/main/java/org/mimosacleat/core/routing/RouteDecision.java
@@ -26,9 +26,6 @@
   /** Wait for a primary, and route again when one is announced or the time is up. */
   record AwaitPrimary(Instant until) implements RouteDecision {}
 
-  /** Poll all endpoints now, and route again when a majority answered or the time is up. */
-  record AwaitProof(Instant until) implements RouteDecision {}
-
   /** Answer the caller with the failure; nothing was sent. */
   record Refuse(Failure failure) implements RouteDecision {}
 }
