--- a/proxy/src/main/java/org/mimosacleat/proxy/home/GroupHome.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/GroupHome.java
@@ -107,10 +107,6 @@
           awaitChange(change, until);
         }
         case RouteDecision.AwaitPrimary(Instant until) -> awaitChange(change, until);
-        case RouteDecision.AwaitProof(Instant until) -> {
-          watchers.pokeAll();
-          awaitChange(change, until);
-        }
         case RouteDecision.Refuse(Failure failure) -> {
           return Either.left(failure);
         }
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/GroupState.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/GroupState.java
@@ -47,11 +47,7 @@
   GroupKnowledge knowledge() {
     Picture current = picture.get();
     return new GroupKnowledge(
-        current.snapshot(),
-        current.history(),
-        positions.highest(),
-        lease.isHeld(),
-        tracker.provenAt());
+        current.snapshot(), current.history(), positions.highest(), lease.isHeld());
   }
 
   GroupSnapshot snapshot() {
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/HomeFactory.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/HomeFactory.java
@@ -36,7 +36,6 @@
 /** Puts together the homes of groups and starts their watchers. */
 public final class HomeFactory {
   private static final int SESSION_SLOTS = 1 << 13;
-  private static final Duration PROOF_LIFETIME = Duration.ofMillis(500);
 
   private final InstantSource clock;
   private final RandomGenerator random;
@@ -105,7 +104,7 @@
             unknown.term(),
             Optional.empty(),
             group.endpoints().stream().map(HomeFactory::unseen).toList()),
-        new ReplicaAcknowledgementTracker(clock, lease, PROOF_LIFETIME, unknown),
+        new ReplicaAcknowledgementTracker(clock, lease, unknown),
         new SessionPositionTable(SESSION_SLOTS),
         lease);
   }
