Measure the proxy's cost against a direct connection

The goals for speed and memory need one run that meets both paths in the same moment of the machine.

--- /dev/null
+++ b/lab/src/main/java/org/mimosacleat/lab/bench/BenchClient.java
@@ -0,0 +1,35 @@
+package org.mimosacleat.lab.bench;
+
+import java.sql.Connection;
+import java.sql.PreparedStatement;
+import java.sql.ResultSet;
+import java.sql.SQLException;
+
+/** One connection that reads one row over and over by a prepared statement. */
+final class BenchClient implements AutoCloseable {
+  static final String TABLE = "mimosacleat_bench";
+  static final long ROW = 1;
+
+  private final Connection connection;
+  private final PreparedStatement select;
+
+  BenchClient(BenchTarget target) throws SQLException {
+    this.connection = target.connect();
+    this.select = connection.prepareStatement("SELECT value FROM " + TABLE + " WHERE id = ?");
+  }
+
+  void read() throws SQLException {
+    select.setLong(1, ROW);
+    try (ResultSet rows = select.executeQuery()) {
+      if (!rows.next()) {
+        throw new SQLException("row " + ROW + " of " + TABLE + " is missing");
+      }
+      rows.getString(1);
+    }
+  }
+
+  @Override
+  public void close() throws SQLException {
+    connection.close();
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/org/mimosacleat/lab/bench/IdleConnectionBench.java
@@ -0,0 +1,59 @@
+package org.mimosacleat.lab.bench;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.mimosacleat.core.check.Checks;
+
+/**
+ * Opens idle connections in equal steps and reads the resident memory of the process that holds
+ * them after each. The client's own sockets count as well if it is the measured process.
+ */
+public final class IdleConnectionBench {
+  private final BenchTarget target;
+  private final ResidentMemory memory;
+  private final Duration settlingTime;
+
+  /** Opens connections to {@code target} and reads {@code memory} after a time to settle. */
+  public IdleConnectionBench(BenchTarget target, ResidentMemory memory, Duration settlingTime) {
+    this.target = target;
+    this.memory = memory;
+    this.settlingTime = settlingTime;
+  }
+
+  /**
+   * Opens {@code connections} in {@code steps} steps and closes them all in the end.
+   *
+   * @throws IOException if a connection is refused
+   */
+  public MemoryReport run(int connections, int steps) throws IOException, InterruptedException {
+    Checks.positive("steps", steps);
+    Checks.atLeast("connections", connections, steps);
+    RawLogin login = new RawLogin(target);
+    List<Socket> sockets = new ArrayList<>();
+    List<MemoryReading> readings = new ArrayList<>();
+    try {
+      readings.add(read(0));
+      for (int step = 1; step <= steps; step++) {
+        int wanted = connections * step / steps;
+        while (sockets.size() < wanted) {
+          sockets.add(login.open());
+        }
+        readings.add(read(wanted));
+      }
+      return new MemoryReport(readings);
+    } finally {
+      for (Socket socket : sockets) {
+        socket.close();
+      }
+    }
+  }
+
+  private MemoryReading read(int connections) throws IOException, InterruptedException {
+    System.gc();
+    Thread.sleep(settlingTime);
+    return new MemoryReading(connections, memory.bytes());
+  }
+}
