--- /dev/null
+++ b/core/src/test/java/org/mimosacleat/core/drain/EndpointDrainTest.java
@@ -0,0 +1,44 @@
+package org.mimosacleat.core.drain;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.mimosacleat.core.id.EndpointId;
+
+class EndpointDrainTest {
+  private static final EndpointId ENDPOINT = new EndpointId("lending-2");
+  private static final Instant START = Instant.EPOCH;
+
+  private final EndpointDrain drain = new EndpointDrain();
+
+  @Test
+  void leavingEndpointGetsNoNewWorkAndIsReportedOnceItsWorkEnded() {
+    drain.step(new EndpointDrainInput.Started(ENDPOINT));
+
+    assertEquals(
+        List.of(new EndpointDrainAction.CloseIdle(ENDPOINT)), list(Set.of(ENDPOINT), START));
+    assertFalse(drain.mayTakeWork(ENDPOINT));
+    assertEquals(
+        List.of(new EndpointDrainAction.Empty(ENDPOINT)),
+        drain.step(new EndpointDrainInput.Finished(ENDPOINT)));
+  }
+
+  @Test
+  void overtakenAnswerDoesNotBringTheEndpointBack() {
+    list(Set.of(ENDPOINT), START.plusSeconds(2));
+
+    assertEquals(List.of(), list(Set.of(), START.plusSeconds(1)));
+    assertFalse(drain.mayTakeWork(ENDPOINT));
+    list(Set.of(), START.plusSeconds(3));
+    assertTrue(drain.mayTakeWork(ENDPOINT));
+  }
+
+  private List<EndpointDrainAction> list(Set<EndpointId> leaving, Instant askedAt) {
+    return drain.step(new EndpointDrainInput.Listed(leaving, askedAt));
+  }
+}
