--- a/core/src/main/java/org/mimosacleat/core/schedule/EndpointSlots.java
+++ b/core/src/main/java/org/mimosacleat/core/schedule/EndpointSlots.java
@@ -46,6 +46,11 @@
     return runningLong < longSlots;
   }
 
+  /** Long work that has not aged leaves half of the slots to what may arrive next. */
+  boolean hasEarlyLongSlot() {
+    return runningLong < Math.min(longSlots, Math.max(1, slots / 2));
+  }
+
   /** Without a reserved slot, long and short work must take turns so that neither starves. */
   boolean isTurnOfShort() {
     return longSlots == slots && lastStartWasLong;
--- a/core/src/main/java/org/mimosacleat/core/schedule/SlotScheduler.java
+++ b/core/src/main/java/org/mimosacleat/core/schedule/SlotScheduler.java
@@ -7,7 +7,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -34,12 +33,15 @@
  */
 public final class SlotScheduler {
   private static final int ENDED_ENTRIES_KEPT = 1024;
+  private static final Comparator<EndpointSlots> MOST_FREE_SLOTS_FIRST =
+      (first, second) -> Integer.compare(second.free(), first.free());
 
   private final SlotSettings settings;
   private final ServiceTimeEstimator estimator;
   private final InstantSource clock;
   private final Instant origin;
-  private final Map<EndpointId, EndpointSlots> endpoints = new LinkedHashMap<>();
+  private final Map<EndpointId, EndpointSlots> endpoints = new HashMap<>();
+  private final List<EndpointSlots> byFreeSlots = new ArrayList<>();
   private final Map<Ticket, QueuedWork> alive = new HashMap<>();
   private final List<QueuedWork> running = new ArrayList<>();
   private final WorkQueues queues = new WorkQueues();
@@ -56,9 +58,16 @@
     this.origin = clock.instant();
   }
 
-  /** Offers the slots of an endpoint to waiting work; a known endpoint is left as it is. */
+  /** Offers the slots of an endpoint to waiting work, for the first time or again. */
   public void addEndpoint(EndpointId id, int slots) {
-    endpoints.computeIfAbsent(id, absent -> new EndpointSlots(id, slots, settings.reservedSlots()));
+    EndpointSlots known = endpoints.get(id);
+    if (known != null) {
+      known.accept(true);
+      return;
+    }
+    EndpointSlots added = new EndpointSlots(id, slots, settings.reservedSlots());
+    endpoints.put(id, added);
+    byFreeSlots.add(added);
   }
 
   /**
@@ -113,8 +122,7 @@
       return Optional.empty();
     }
     demoteLongRunning();
-    List<EndpointSlots> byFreeSlots = new ArrayList<>(endpoints.values());
-    byFreeSlots.sort(Comparator.comparingInt((EndpointSlots endpoint) -> -endpoint.free()));
+    byFreeSlots.sort(MOST_FREE_SLOTS_FIRST);
     for (EndpointSlots endpoint : byFreeSlots) {
       QueuedWork chosen = endpoint.free() > 0 ? choose(endpoint) : null;
       if (chosen != null) {
@@ -181,8 +189,7 @@
 
   private QueuedWork choose(EndpointSlots endpoint) {
     QueuedWork longHead = queues.head(WorkClass.LONG, endpoint.id);
-    boolean longAllowed = longHead != null && endpoint.hasLongSlot();
-    boolean aged = longAllowed && now() - longHead.submittedAt >= settings.longAge().toNanos();
+    boolean aged = longHead != null && isAged(longHead) && endpoint.hasLongSlot();
     if (aged && !endpoint.isTurnOfShort()) {
       return longHead;
     }
@@ -194,7 +201,11 @@
     if (shortHead != null) {
       return shortHead;
     }
-    return longAllowed ? longHead : null;
+    return aged || endpoint.hasEarlyLongSlot() ? longHead : null;
+  }
+
+  private boolean isAged(QueuedWork queued) {
+    return now() - queued.submittedAt >= settings.longAge().toNanos();
   }
 
   private boolean mayProbe(EndpointSlots endpoint) {
--- a/core/src/main/java/org/mimosacleat/core/schedule/WorkQueues.java
+++ b/core/src/main/java/org/mimosacleat/core/schedule/WorkQueues.java
@@ -1,6 +1,7 @@
 package org.mimosacleat.core.schedule;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
@@ -71,7 +72,7 @@
   List<WorkQueue> competing(WorkClass workClass, Set<EndpointId> eligible) {
     List<WorkQueue> found = new ArrayList<>();
     for (WorkQueue queue : queues.get(workClass).values()) {
-      if (queue.eligible.stream().anyMatch(eligible::contains)) {
+      if (!Collections.disjoint(queue.eligible, eligible)) {
         found.add(queue);
       }
     }
--- a/core/src/test/java/org/mimosacleat/core/schedule/SlotSchedulerTest.java
+++ b/core/src/test/java/org/mimosacleat/core/schedule/SlotSchedulerTest.java
@@ -164,6 +164,9 @@
     assertEquals(1, scheduler.removeEndpoint(ONE).size());
     assertTrue(scheduler.submit(work(BRIEF, FAR, ONE)).isLeft());
     assertTrue(startAll().isEmpty());
+    scheduler.addEndpoint(ONE, 2);
+    submit(BRIEF);
+    assertEquals(1, startAll().size());
   }
 
   @Test
--- /dev/null
+++ b/lab/src/main/java/org/mimosacleat/lab/measure/load/OrderedPolicy.java
@@ -0,0 +1,122 @@
+package org.mimosacleat.lab.measure.load;
+
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+
+/**
+ * The baselines: jobs start in a fixed order; optionally each endpoint has slots for stragglers and
+ * other slots for the rest, told apart by an oracle.
+ */
+final class OrderedPolicy implements SlotPolicy {
+  private enum Queue {
+    PINNED,
+    ANYWHERE,
+    PINNED_STRAGGLERS,
+    STRAGGLERS_ANYWHERE
+  }
+
+  private final Comparator<Job> order;
+  private final int slots;
+  private final int stragglerSlots;
+  private final int[] running;
+  private final int[] runningStragglers;
+  private final Map<Queue, PriorityQueue<Job>> queues = new EnumMap<>(Queue.class);
+  private final Map<Long, Integer> endpoints = new HashMap<>();
+
+  private OrderedPolicy(Comparator<Job> order, int instances, int slots, int stragglerSlots) {
+    this.order = order.thenComparing(Job::number);
+    this.slots = slots;
+    this.stragglerSlots = stragglerSlots;
+    this.running = new int[instances];
+    this.runningStragglers = new int[instances];
+    for (Queue queue : Queue.values()) {
+      queues.put(queue, new PriorityQueue<>(this.order));
+    }
+  }
+
+  static OrderedPolicy firstInFirstOut(int instances, int slots) {
+    return new OrderedPolicy(Comparator.comparing(Job::arrival), instances, slots, 0);
+  }
+
+  static OrderedPolicy shortestFirst(int instances, int slots) {
+    return new OrderedPolicy(Comparator.comparing(Job::service), instances, slots, 0);
+  }
+
+  static OrderedPolicy twoQueues(int instances, int slots) {
+    Comparator<Job> byArrival = Comparator.comparing(Job::arrival);
+    return new OrderedPolicy(byArrival, instances, slots, slots - 1);
+  }
+
+  @Override
+  public boolean arrive(Job job) {
+    queues.get(queueOf(job)).add(job);
+    return true;
+  }
+
+  @Override
+  public Optional<Job> next() {
+    Job best = null;
+    int where = 0;
+    for (int endpoint = 0; endpoint < running.length; endpoint++) {
+      for (Queue queue : Queue.values()) {
+        Job head = queues.get(queue).peek();
+        boolean may = head != null && fits(head, endpoint);
+        boolean better = may && (best == null || order.compare(head, best) < 0);
+        where = better ? endpoint : where;
+        best = better ? head : best;
+      }
+    }
+    if (best == null) {
+      return Optional.empty();
+    }
+    queues.get(queueOf(best)).poll();
+    endpoints.put(best.number(), where);
+    count(best, where, 1);
+    return Optional.of(best);
+  }
+
+  @Override
+  public void end(Job job) {
+    count(job, endpoints.remove(job.number()), -1);
+  }
+
+  @Override
+  public List<Job> tick() {
+    return List.of();
+  }
+
+  @Override
+  public int waiting() {
+    return queues.values().stream().mapToInt(PriorityQueue::size).sum();
+  }
+
+  private Queue queueOf(Job job) {
+    if (job.straggler()) {
+      return job.pinned() ? Queue.PINNED_STRAGGLERS : Queue.STRAGGLERS_ANYWHERE;
+    }
+    return job.pinned() ? Queue.PINNED : Queue.ANYWHERE;
+  }
+
+  private boolean fits(Job job, int endpoint) {
+    if (job.pinned() && endpoint > 0) {
+      return false;
+    }
+    if (stragglerSlots == 0) {
+      return running[endpoint] < slots;
+    }
+    int rest = running[endpoint] - runningStragglers[endpoint];
+    return job.straggler()
+        ? runningStragglers[endpoint] < stragglerSlots
+        : rest < slots - stragglerSlots;
+  }
+
+  private void count(Job job, int endpoint, int change) {
+    running[endpoint] += change;
+    runningStragglers[endpoint] += job.straggler() ? change : 0;
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/org/mimosacleat/lab/measure/load/SchedulerPolicy.java
@@ -0,0 +1,103 @@
+package org.mimosacleat.lab.measure.load;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.mimosacleat.core.id.EndpointId;
+import org.mimosacleat.core.schedule.EstimatorSettings;
+import org.mimosacleat.core.schedule.Refusal;
+import org.mimosacleat.core.schedule.ServiceTimeEstimator;
+import org.mimosacleat.core.schedule.SlotScheduler;
+import org.mimosacleat.core.schedule.SlotSettings;
+import org.mimosacleat.core.schedule.Start;
+import org.mimosacleat.core.schedule.Ticket;
+import org.mimosacleat.core.schedule.Work;
+
+/** The scheduler of the proxy. */
+final class SchedulerPolicy implements SlotPolicy {
+  private final EventQueue events;
+  private final SlotScheduler scheduler;
+  private final Set<EndpointId> primary;
+  private final Set<EndpointId> all = new HashSet<>();
+  private final Map<Ticket, Job> jobs = new HashMap<>();
+  private final Map<Long, Ticket> tickets = new HashMap<>();
+  private long decisionNanoseconds;
+  private long decided;
+
+  SchedulerPolicy(EventQueue events, int instances, int slots) {
+    this.events = events;
+    this.scheduler =
+        new SlotScheduler(
+            SlotSettings.STANDARD,
+            new ServiceTimeEstimator(EstimatorSettings.STANDARD),
+            events.clock());
+    for (int number = 0; number < instances; number++) {
+      EndpointId id = new EndpointId("endpoint-" + number);
+      all.add(id);
+      scheduler.addEndpoint(id, slots);
+    }
+    this.primary = Set.of(new EndpointId("endpoint-0"));
+  }
+
+  /** Returns the processor time of all decisions on one statement, in nanoseconds. */
+  double nanosecondsPerStatement() {
+    return decided == 0 ? 0 : (double) decisionNanoseconds / decided;
+  }
+
+  @Override
+  public boolean arrive(Job job) {
+    decided++;
+    Work work =
+        new Work(
+            job.customer(),
+            job.weight(),
+            job.fingerprint(),
+            job.pinned() ? primary : all,
+            events.instantAt(job.deadline()),
+            false);
+    long before = System.nanoTime();
+    var submitted = scheduler.submit(work);
+    decisionNanoseconds += System.nanoTime() - before;
+    if (submitted.isLeft()) {
+      return false;
+    }
+    jobs.put(submitted.get(), job);
+    tickets.put(job.number(), submitted.get());
+    return true;
+  }
+
+  @Override
+  public Optional<Job> next() {
+    long before = System.nanoTime();
+    Optional<Start> start = scheduler.next();
+    decisionNanoseconds += System.nanoTime() - before;
+    return start.map(started -> jobs.remove(started.ticket()));
+  }
+
+  @Override
+  public void end(Job job) {
+    long before = System.nanoTime();
+    scheduler.finished(tickets.remove(job.number()));
+    decisionNanoseconds += System.nanoTime() - before;
+  }
+
+  @Override
+  public List<Job> tick() {
+    List<Job> refused = new ArrayList<>();
+    for (Refusal refusal : scheduler.tick()) {
+      Job job = jobs.remove(refusal.ticket());
+      tickets.remove(job.number());
+      refused.add(job);
+    }
+    return refused;
+  }
+
+  @Override
+  public int waiting() {
+    return scheduler.waiting();
+  }
+}
