--- /dev/null
+++ b/control/src/main/java/org/mimosacleat/control/StatusClient.java
@@ -0,0 +1,49 @@
+package org.mimosacleat.control;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+import org.mimosacleat.core.error.ErrorKind;
+import org.mimosacleat.core.error.Failure;
+import org.mimosacleat.core.settings.AddressType;
+import org.mimosacleat.core.status.ProxyStatus;
+import org.mimosacleat.platform.status.StatusReader;
+
+/** Asks proxies for their status page. */
+final class StatusClient {
+  private static final int OK = 200;
+
+  private final HttpClient http;
+  private final Duration timeout;
+
+  StatusClient(HttpClient http, Duration timeout) {
+    this.http = http;
+    this.timeout = timeout;
+  }
+
+  Either<Failure, ProxyStatus> ask(InetSocketAddress proxy) {
+    String address = AddressType.format(proxy);
+    URI page = URI.create("http://" + address + "/status");
+    HttpRequest request = HttpRequest.newBuilder(page).timeout(timeout).build();
+    try {
+      var answer = http.send(request, BodyHandlers.ofString());
+      return answer.statusCode() == OK
+          ? StatusReader.parse(answer.body())
+          : unavailable(address + " answered with HTTP status " + answer.statusCode());
+    } catch (IOException unreachable) {
+      return unavailable(address + " does not answer: " + unreachable);
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+      return unavailable("the question to " + address + " was interrupted");
+    }
+  }
+
+  private static Either<Failure, ProxyStatus> unavailable(String detail) {
+    return Either.left(new Failure(ErrorKind.UNAVAILABLE, detail));
+  }
+}
--- /dev/null
+++ b/control/src/main/java/org/mimosacleat/control/StatusText.java
@@ -0,0 +1,59 @@
+package org.mimosacleat.control;
+
+import java.io.PrintWriter;
+import java.util.stream.Collectors;
+import org.mimosacleat.core.id.EndpointId;
+import org.mimosacleat.core.id.VmId;
+import org.mimosacleat.core.status.CreditStatus;
+import org.mimosacleat.core.status.DecisionNote;
+import org.mimosacleat.core.status.GroupStatus;
+import org.mimosacleat.core.status.ListStatus;
+import org.mimosacleat.core.status.ProxyStatus;
+
+/** Prints a proxy's status for people. */
+final class StatusText {
+  private final PrintWriter out;
+
+  StatusText(PrintWriter out) {
+    this.out = out;
+  }
+
+  void print(ProxyStatus status) {
+    out.printf(
+        "%s in %s, up since %s, asked at %s%n",
+        status.proxy(), status.zone(), status.startedAt(), status.at());
+    status.lists().forEach(this::list);
+    status.groups().forEach(this::group);
+    status.credits().forEach(this::credit);
+    status.decisions().forEach(this::decision);
+  }
+
+  private void list(ListStatus list) {
+    out.printf(
+        "  list %s version %s by %s, in force since %s, from %s%n",
+        list.kind(), list.version(), list.editor(), list.adoptedAt(), list.source());
+  }
+
+  private void group(GroupStatus group) {
+    String homes = group.homes().stream().map(VmId::value).collect(Collectors.joining(", "));
+    String primary = group.primary().map(EndpointId::value).orElse("(promotion under way)");
+    out.printf(
+        "  group %s term %s primary %s, homes %s, fencing token %d%n",
+        group.group(), group.term(), primary, homes, group.fencingToken());
+  }
+
+  private void credit(CreditStatus credit) {
+    out.printf(
+        "  credits %s: %.2f left until %s, %.2f an hour, carries %d connections and %d VMs%n",
+        credit.budget(),
+        credit.remaining(),
+        credit.expiresAt(),
+        credit.pacePerHour(),
+        credit.connectionLimit(),
+        credit.wantedVms());
+  }
+
+  private void decision(DecisionNote note) {
+    out.printf("  %s %s: %s%n", note.at(), note.subject(), note.explanation());
+  }
+}
--- a/control/src/main/java/org/mimosacleat/control/package-info.java
+++ b/control/src/main/java/org/mimosacleat/control/package-info.java
@@ -1,2 +1,2 @@
-/** The binary {@code mimosacleatctl}, for operators. */
+/** The command line mimosacleatctl: the operators' lists, the status of proxies, settings. */
 package org.mimosacleat.control;
