Let endpoints fence homes by token

Cause: the lease needs a majority of endpoints that refuse an earlier home, and a connection of an earlier home must not commit any more. Change: the stand-in keeps the highest home token, refuses lower ones, ends connections opened under them, and checks the token again inside the commit. Ruled out: fencing by term alone, since a change of home keeps the term.

--- a/standin/src/main/java/org/mimosacleat/standin/endpoint/EndpointStandin.java
+++ b/standin/src/main/java/org/mimosacleat/standin/endpoint/EndpointStandin.java
@@ -27,6 +27,7 @@
 import org.mimosacleat.wire.postgres.FrameWriter;
 import org.mimosacleat.wire.postgres.Frames;
 import org.mimosacleat.wire.postgres.StartupPacket;
+import org.mimosacleat.wire.postgres.admin.EndpointStatements;
 import org.mimosacleat.wire.postgres.authentication.ScramVerifier;
 
 /**
@@ -85,6 +86,7 @@
             new TableLocks(),
             new SlotPool(settings.slots(), settings.serviceTime(), faults),
             faults,
+            this::breakOffFenced,
             directory::wakeFollowers);
   }
 
@@ -311,19 +313,26 @@
       if (verifier.isPresent() && !Handshake.authenticate(user, verifier.get(), reader, writer)) {
         return;
       }
-      open(socket, reader, writer, generation, own);
+      SessionRights rights = new SessionRights(generation, homeToken(startup));
+      open(socket, reader, writer, rights, own);
     } finally {
       openConnections.decrementAndGet();
     }
   }
 
   private void open(
-      Socket socket, FrameReader reader, FrameWriter writer, long generation, RandomGenerator own)
+      Socket socket,
+      FrameReader reader,
+      FrameWriter writer,
+      SessionRights rights,
+      RandomGenerator own)
       throws IOException, InterruptedException {
     BackendKey key = new BackendKey(nextProcessId.getAndIncrement(), own.nextInt());
-    SessionEngine engine = new SessionEngine(parts, generation, own);
-    Session session = new Session(socket, reader, writer, engine, faults, new CancelTarget());
+    SessionEngine engine = new SessionEngine(parts, rights, own);
+    Session session =
+        new Session(socket, reader, writer, engine, faults, rights, new CancelTarget());
     sessions.put(key, session);
+    breakOffFenced();
     try {
       writer.write(Handshake.welcome(key, state.isReplica()));
       session.serve();
@@ -332,6 +341,22 @@
     }
   }
 
+  private void breakOffFenced() {
+    HomeFence fence = state.homeFence();
+    sessions.values().stream()
+        .filter(session -> fence.shutsOut(session.rights().homeToken()))
+        .forEach(Session::breakOff);
+  }
+
+  private static long homeToken(StartupPacket.Startup startup) throws IOException {
+    String text = startup.parameters().get(EndpointStatements.HOME_TOKEN_SETTING);
+    try {
+      return text == null ? HomeFence.NO_TOKEN : Long.parseLong(text);
+    } catch (NumberFormatException malformed) {
+      throw new IOException("startup packet: home token must be a number, not " + text, malformed);
+    }
+  }
+
   private RandomGenerator splitRandom() {
     return new SplittableRandom(random.nextLong());
   }
--- a/standin/src/main/java/org/mimosacleat/standin/endpoint/InstanceState.java
+++ b/standin/src/main/java/org/mimosacleat/standin/endpoint/InstanceState.java
@@ -33,6 +33,7 @@
   private volatile boolean replica;
   private volatile boolean readOnly;
   private volatile Optional<Term> fence = Optional.empty();
+  private volatile HomeFence homeFence = HomeFence.NONE;
   private volatile String upstream = "";
   private String upstreamAfterReload = "";
   private long generation;
@@ -81,6 +82,20 @@
     return fence;
   }
 
+  HomeFence homeFence() {
+    return homeFence;
+  }
+
+  /** Raises the lowest fencing token that is served; commits under lower ones fail from now on. */
+  void setHomeToken(long token) throws SqlError {
+    lock.lock();
+    try {
+      homeFence = homeFence.with(token);
+    } finally {
+      lock.unlock();
+    }
+  }
+
   boolean isReadOnly() {
     return readOnly;
   }
@@ -109,12 +124,15 @@
   }
 
   /** Appends a commit to the log. */
-  void commit(Map<String, Optional<Table>> written, long ofGeneration) throws SqlError {
+  void commit(Map<String, Optional<Table>> written, SessionRights rights) throws SqlError {
     lock.lock();
     try {
-      if (!running || ofGeneration != generation) {
+      if (!running || rights.generation() != generation) {
         throw new SqlError(SqlError.ADMIN_SHUTDOWN, "the instance has stopped");
       }
+      if (homeFence.shutsOut(rights.homeToken())) {
+        throw new SqlError(SqlError.ADMIN_SHUTDOWN, "a later home has fenced this connection");
+      }
       requireWritable("COMMIT");
       append(replayed.position().term(), replayed.state().with(written));
       commits++;
--- a/standin/src/main/java/org/mimosacleat/standin/endpoint/Session.java
+++ b/standin/src/main/java/org/mimosacleat/standin/endpoint/Session.java
@@ -22,6 +22,7 @@
   private final SessionEngine engine;
   private final ExtendedProtocol extended;
   private final Faults faults;
+  private final SessionRights rights;
   private final CancelTarget cancelTarget;
   private final List<Frame> answers = new ArrayList<>();
   private boolean skipsToSync;
@@ -32,6 +33,7 @@
       FrameWriter writer,
       SessionEngine engine,
       Faults faults,
+      SessionRights rights,
       CancelTarget cancelTarget) {
     this.socket = socket;
     this.reader = reader;
@@ -39,6 +41,7 @@
     this.engine = engine;
     this.extended = new ExtendedProtocol(engine);
     this.faults = faults;
+    this.rights = rights;
     this.cancelTarget = cancelTarget;
   }
 
@@ -58,6 +61,10 @@
     }
   }
 
+  SessionRights rights() {
+    return rights;
+  }
+
   void cancel() {
     cancelTarget.cancel();
   }
--- a/standin/src/main/java/org/mimosacleat/standin/endpoint/SessionEngine.java
+++ b/standin/src/main/java/org/mimosacleat/standin/endpoint/SessionEngine.java
@@ -21,13 +21,13 @@
   private boolean failed;
   private boolean readOnly;
 
-  SessionEngine(InstanceParts parts, long generation, RandomGenerator random) {
+  SessionEngine(InstanceParts parts, SessionRights rights, RandomGenerator random) {
     this.parts = parts;
     this.state = parts.state();
     this.settings = new SessionSettings(state);
     this.functions = new AdminFunctions(state, settings, parts.wakeFollowers());
     this.random = random;
-    this.transaction = new Transaction(state, parts.locks(), generation);
+    this.transaction = new Transaction(state, parts.locks(), rights);
   }
 
   TransactionStatus status() {
@@ -206,6 +206,7 @@
   private QueryResult alterSystem(Command.AlterSystem alter) throws SqlError {
     switch (alter.name()) {
       case EndpointStatements.FENCE_TERM_SETTING -> state.setFence(parseTerm(alter.value()));
+      case EndpointStatements.HOME_TOKEN_SETTING -> raiseHomeToken(alter.value());
       case EndpointStatements.PRIMARY_SETTING -> state.setUpstream(alter.value());
       case EndpointStatements.READ_ONLY_SETTING -> state.setReadOnly("on".equals(alter.value()));
       default -> throw AdminFunctions.unknownSetting(alter.name());
@@ -213,6 +214,16 @@
     return QueryResult.done("ALTER SYSTEM");
   }
 
+  private void raiseHomeToken(String text) throws SqlError {
+    try {
+      state.setHomeToken(Long.parseLong(text));
+    } catch (NumberFormatException malformed) {
+      throw new SqlError(
+          SqlError.INVALID_VALUE, "mimosacleat.home_token must be a number, not '" + text + "'");
+    }
+    parts.breakOffFenced().run();
+  }
+
   private static Term parseTerm(String text) throws SqlError {
     try {
       return new Term(Long.parseLong(text));
--- a/standin/src/main/java/org/mimosacleat/standin/endpoint/SessionSettings.java
+++ b/standin/src/main/java/org/mimosacleat/standin/endpoint/SessionSettings.java
@@ -47,6 +47,9 @@
   String get(String name) {
     return switch (name) {
       case EndpointStatements.FENCE_TERM_SETTING -> state.fence().map(Term::toString).orElse(null);
+      case EndpointStatements.HOME_TOKEN_SETTING -> Long.toString(state.homeFence().highest());
+      case EndpointStatements.PREVIOUS_HOME_TOKEN_SETTING ->
+          Long.toString(state.homeFence().previous());
       case EndpointStatements.PRIMARY_SETTING -> state.upstream();
       case "in_hot_standby" -> onOff(state.isReplica());
       case EndpointStatements.READ_ONLY_SETTING -> onOff(state.isReadOnly() || isReadOnly());
--- a/standin/src/main/java/org/mimosacleat/standin/endpoint/Transaction.java
+++ b/standin/src/main/java/org/mimosacleat/standin/endpoint/Transaction.java
@@ -10,14 +10,14 @@
 final class Transaction {
   private final InstanceState state;
   private final TableLocks locks;
-  private final long generation;
+  private final SessionRights rights;
   private final Map<String, Optional<Table>> written = new HashMap<>();
   private final Set<String> locked = new LinkedHashSet<>();
 
-  Transaction(InstanceState state, TableLocks locks, long generation) {
+  Transaction(InstanceState state, TableLocks locks, SessionRights rights) {
     this.state = state;
     this.locks = locks;
-    this.generation = generation;
+    this.rights = rights;
   }
 
   void lock(String table) throws SqlError, InterruptedException {
@@ -54,7 +54,7 @@
       if (written.isEmpty()) {
         return false;
       }
-      state.commit(written, generation);
+      state.commit(written, rights);
       return true;
     } finally {
       rollback();
--- a/wire/src/main/java/org/mimosacleat/wire/postgres/admin/EndpointStatements.java
+++ b/wire/src/main/java/org/mimosacleat/wire/postgres/admin/EndpointStatements.java
@@ -1,6 +1,7 @@
 package org.mimosacleat.wire.postgres.admin;
 
 import org.mimosacleat.core.check.Checks;
+import org.mimosacleat.core.lease.FencingToken;
 import org.mimosacleat.core.position.Term;
 
 /**
@@ -11,6 +12,21 @@
   /** The setting that holds the lowest term an endpoint still serves. */
   public static final String FENCE_TERM_SETTING = "mimosacleat.fence_term";
 
+  /**
+   * The setting that holds the highest fencing token of a home that an endpoint has accepted. It
+   * never goes down. Raising it ends the connections that were opened under a lower token, which
+   * their startup packet carries under this name; the endpoint accepts no further ones.
+   */
+  public static final String HOME_TOKEN_SETTING = "mimosacleat.home_token";
+
+  /** The setting that holds the token that was the highest before. */
+  public static final String PREVIOUS_HOME_TOKEN_SETTING = "mimosacleat.previous_home_token";
+
+  /** Asks for the highest fencing token and the one before it. */
+  public static final String HOME_TOKENS =
+      "SELECT current_setting('mimosacleat.home_token', true),"
+          + " current_setting('mimosacleat.previous_home_token', true)";
+
   /** The setting that names the endpoint a replica receives from; empty to receive from none. */
   public static final String PRIMARY_SETTING = "primary_conninfo";
 
@@ -63,6 +79,11 @@
     return "ALTER SYSTEM SET mimosacleat.fence_term = '" + term.number() + "'";
   }
 
+  /** Makes an endpoint refuse homes with lower tokens; in force at once, refused if lower. */
+  public static String homeToken(FencingToken token) {
+    return "ALTER SYSTEM SET mimosacleat.home_token = '" + token.number() + "'";
+  }
+
   /** Makes an endpoint refuse or accept writes; in force at once. */
   public static String readOnly(boolean on) {
     return "ALTER SYSTEM SET default_transaction_read_only = " + (on ? "on" : "off");
