--- a/lab/src/main/java/org/mimosacleat/lab/demo/LocalFleet.java
+++ b/lab/src/main/java/org/mimosacleat/lab/demo/LocalFleet.java
@@ -12,8 +12,11 @@
 import java.util.SplittableRandom;
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.core.time.MonotonicClock;
+import org.mimosacleat.core.time.Sleeper;
 import org.mimosacleat.proxy.node.ProxyNode;
 import org.mimosacleat.standin.endpoint.GroupStandin;
+import org.mimosacleat.standin.platform.FakeTableService;
+import org.mimosacleat.standin.platform.Faults;
 
 /** Stand-in groups and real proxies in front of them, in this process, joined by TCP. */
 public final class LocalFleet implements AutoCloseable {
@@ -21,8 +24,10 @@
 
   private final List<GroupStandin> groups;
   private final List<ProxyNode> proxies;
+  private final Faults tableFaults;
 
-  private LocalFleet(List<GroupStandin> groups, List<ProxyNode> proxies) {
+  private LocalFleet(List<GroupStandin> groups, List<ProxyNode> proxies, Faults tableFaults) {
+    this.tableFaults = tableFaults;
     this.groups = groups;
     this.proxies = proxies;
   }
@@ -45,11 +50,13 @@
     }
     FleetSettings settings =
         new FleetSettings(plan, FreePorts.find(plan.proxies() * FleetSettings.PORTS_PER_PROXY));
+    Faults faults = new Faults(Sleeper.SYSTEM);
+    FakeTableService table = new FakeTableService(faults);
     List<ProxyNode> proxies = new ArrayList<>();
     for (int number = 0; number < plan.proxies(); number++) {
-      proxies.add(ProxyNode.start(settings.ofProxy(number, groups)));
+      proxies.add(ProxyNode.start(settings.ofProxy(number, groups), table));
     }
-    return new LocalFleet(groups, proxies);
+    return new LocalFleet(groups, proxies, faults);
   }
 
   /** Returns the stand-in groups. */
@@ -62,6 +69,11 @@
     return proxies;
   }
 
+  /** Returns the switches for faults of the table service. */
+  public Faults tableFaults() {
+    return tableFaults;
+  }
+
   /** Connects the stock driver to a proxy. */
   public Connection connect(int proxy, GroupId group, String session) throws SQLException {
     InetSocketAddress address = proxies.get(proxy).callerAddress();
--- a/proxy/src/main/java/org/mimosacleat/proxy/caller/BatchHandler.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/caller/BatchHandler.java
@@ -8,8 +8,9 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.mimosacleat.core.error.ErrorKind;
 import org.mimosacleat.core.error.Failure;
+import org.mimosacleat.core.id.VmId;
 import org.mimosacleat.core.statement.StatementKind;
-import org.mimosacleat.proxy.dispatch.DispatchedWork;
+import org.mimosacleat.proxy.dispatch.CallerTicket;
 import org.mimosacleat.proxy.dispatch.Dispatcher;
 import org.mimosacleat.wire.peer.WorkAnswer;
 import org.mimosacleat.wire.peer.WorkRequest;
@@ -25,7 +26,7 @@
   private final CallerSession session;
   private final Dispatcher dispatcher;
   private final Duration requestTimeout;
-  private final AtomicReference<DispatchedWork> running = new AtomicReference<>();
+  private final AtomicReference<CallerTicket> running = new AtomicReference<>();
 
   BatchHandler(CallerSession session, Dispatcher dispatcher, Duration requestTimeout) {
     this.session = session;
@@ -45,9 +46,9 @@
 
   /** Cancels the batch that is running, if one is. */
   void cancel() {
-    DispatchedWork work = running.get();
-    if (work != null) {
-      work.cancel();
+    CallerTicket ticket = running.get();
+    if (ticket != null) {
+      ticket.cancel();
     }
   }
 
@@ -121,27 +122,25 @@
     return Optional.empty();
   }
 
-  /** A refused batch in a transaction reached no endpoint, so the transaction goes on. */
-  private TransactionStatus statusAfterRefusal() {
-    return session.status();
-  }
-
   private byte[] dispatch(BatchPlan plan) {
-    return dispatcher
-        .prepare(request(plan), session.owner(), session.transactionHome())
-        .flatMap(work -> run(work).map(answer -> accept(plan, work, answer)))
-        .getOrElseGet(failure -> FrameWriter.encode(fail(plan, failure)));
-  }
-
-  private Either<Failure, WorkAnswer> run(DispatchedWork work) {
-    running.set(work);
+    CallerTicket ticket = new CallerTicket(session.owner());
+    running.set(ticket);
     try {
-      return work.run();
+      return run(request(plan), ticket)
+          .map(answer -> accept(plan, ticket.home(), answer))
+          .getOrElseGet(failure -> FrameWriter.encode(fail(plan, failure)));
     } finally {
       running.set(null);
     }
   }
 
+  private Either<Failure, WorkAnswer> run(WorkRequest request, CallerTicket ticket) {
+    return session
+        .transactionHome()
+        .map(home -> dispatcher.runInTransaction(request, home, ticket))
+        .orElseGet(() -> dispatcher.run(request, ticket));
+  }
+
   private WorkRequest request(BatchPlan plan) {
     return new WorkRequest(
         session.group(),
@@ -168,10 +167,10 @@
     return FrameWriter.encode(all);
   }
 
-  private byte[] accept(BatchPlan plan, DispatchedWork work, WorkAnswer answer) {
+  private byte[] accept(BatchPlan plan, VmId home, WorkAnswer answer) {
     boolean open = answer.transaction() != WorkRequest.NO_TRANSACTION;
     if (open) {
-      session.inTransaction(work.home(), answer.transaction(), answer.status());
+      session.inTransaction(home, answer.transaction(), answer.status());
     } else {
       session.idle();
     }
--- a/proxy/src/main/java/org/mimosacleat/proxy/dispatch/HomeLocator.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/dispatch/HomeLocator.java
@@ -1,12 +1,12 @@
 package org.mimosacleat.proxy.dispatch;
 
-import java.util.Optional;
+import java.util.List;
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.core.id.VmId;
 
-/** Knows which proxy is home of a group. */
+/** Knows which proxies may be home of a group. */
 @FunctionalInterface
 public interface HomeLocator {
-  /** Returns the home, or empty if the group is not known or has no home now. */
-  Optional<VmId> homeOf(GroupId group);
+  /** Returns the VMs that may be the home, the most likely first; empty if the group is unknown. */
+  List<VmId> likelyHomes(GroupId group);
 }
--- a/proxy/src/main/java/org/mimosacleat/proxy/endpoint/EndpointConnection.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/endpoint/EndpointConnection.java
@@ -3,12 +3,15 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.time.Duration;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.mimosacleat.core.id.EndpointId;
+import org.mimosacleat.core.lease.FencingToken;
 import org.mimosacleat.wire.postgres.FrameWriter;
 import org.mimosacleat.wire.postgres.Frames;
 import org.mimosacleat.wire.postgres.StartupPacket;
+import org.mimosacleat.wire.postgres.admin.EndpointStatements;
 
 /**
  * One connection to an endpoint. It carries one batch at a time: {@link #send} or {@link
@@ -19,6 +22,7 @@
   private static final String APPLICATION_NAME = "mimosacleat";
 
   private final EndpointAddress address;
+  private final FencingToken token;
   private final Socket socket;
   private final ReplyReader reader;
   private final FrameWriter writer;
@@ -28,9 +32,14 @@
   private int outstanding;
 
   private EndpointConnection(
-      EndpointAddress address, Socket socket, CancelKey cancelKey, int maximumReplyBytes)
+      EndpointAddress address,
+      FencingToken token,
+      Socket socket,
+      CancelKey cancelKey,
+      int maximumReplyBytes)
       throws IOException {
     this.address = address;
+    this.token = token;
     this.socket = socket;
     this.reader = new ReplyReader(socket.getInputStream(), maximumReplyBytes);
     this.writer = new FrameWriter(socket.getOutputStream());
@@ -38,29 +47,30 @@
     this.maximumReplyBytes = maximumReplyBytes;
   }
 
+  /** Connects and authenticates without a fencing token, for questions about the endpoint. */
+  public static EndpointConnection open(
+      EndpointAddress address, int maximumReplyBytes, Duration timeout) throws IOException {
+    return open(address, FencingToken.NONE, maximumReplyBytes, timeout);
+  }
+
   /**
    * Connects and authenticates.
    *
+   * @param token of the home; the endpoint ends the connection when it accepts a higher one
    * @throws IOException if the endpoint refuses or does not answer in time
    */
   public static EndpointConnection open(
-      EndpointAddress address, int maximumReplyBytes, Duration timeout) throws IOException {
+      EndpointAddress address, FencingToken token, int maximumReplyBytes, Duration timeout)
+      throws IOException {
     Socket socket = new Socket();
     try {
       socket.setTcpNoDelay(true);
       socket.connect(address.address(), milliseconds(timeout));
       socket.setSoTimeout(milliseconds(timeout));
-      socket
-          .getOutputStream()
-          .write(
-              StartupPacket.encode(
-                  Map.of(
-                      "user", address.user(),
-                      "database", address.database(),
-                      "application_name", APPLICATION_NAME)));
+      socket.getOutputStream().write(StartupPacket.encode(startup(address, token)));
       CancelKey cancelKey = EndpointLogin.run(socket, address);
       socket.setSoTimeout(0);
-      return new EndpointConnection(address, socket, cancelKey, maximumReplyBytes);
+      return new EndpointConnection(address, token, socket, cancelKey, maximumReplyBytes);
     } catch (IOException | RuntimeException failed) {
       socket.close();
       throw failed;
@@ -72,6 +82,11 @@
     return address.endpoint();
   }
 
+  /** Returns the token that the connection was opened under. */
+  public FencingToken token() {
+    return token;
+  }
+
   /** Sends a batch; each is answered by one {@link #receive}. */
   public void send(byte[] frames) throws IOException {
     outstanding++;
@@ -143,6 +158,17 @@
     }
   }
 
+  private static Map<String, String> startup(EndpointAddress address, FencingToken token) {
+    Map<String, String> parameters = new LinkedHashMap<>();
+    parameters.put("user", address.user());
+    parameters.put("database", address.database());
+    parameters.put("application_name", APPLICATION_NAME);
+    if (token.isAfter(FencingToken.NONE)) {
+      parameters.put(EndpointStatements.HOME_TOKEN_SETTING, token.toString());
+    }
+    return parameters;
+  }
+
   private static int milliseconds(Duration timeout) {
     return Math.clamp(timeout.toMillis(), 1, Integer.MAX_VALUE);
   }
--- a/proxy/src/main/java/org/mimosacleat/proxy/endpoint/EndpointPool.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/endpoint/EndpointPool.java
@@ -7,7 +7,9 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import org.mimosacleat.core.check.Checks;
+import org.mimosacleat.core.lease.FencingToken;
 
 /**
  * The connections of one proxy to one endpoint, at most {@code limit} at any moment. A connection
@@ -20,6 +22,7 @@
   private final Duration connectTimeout;
   private final Semaphore permits;
   private final ConcurrentLinkedDeque<EndpointConnection> idle = new ConcurrentLinkedDeque<>();
+  private final AtomicReference<FencingToken> token = new AtomicReference<>(FencingToken.NONE);
   private final AtomicBoolean closed = new AtomicBoolean();
 
   /** Makes an empty pool. */
@@ -56,7 +59,7 @@
 
   /** Hands back a connection whose transaction has ended. */
   public void release(EndpointConnection connection) {
-    if (connection.isQuiet() && !closed.get()) {
+    if (connection.isQuiet() && isCurrent(connection) && !closed.get()) {
       idle.push(connection);
     } else {
       connection.close();
@@ -70,6 +73,13 @@
     permits.release();
   }
 
+  /** Opens connections under this token from now on; those of other tokens are not used again. */
+  public void useToken(FencingToken current) {
+    if (!token.getAndSet(current).equals(current)) {
+      closeIdle();
+    }
+  }
+
   /** Closes the idle connections, for example because the endpoint was replaced as primary. */
   public void closeIdle() {
     EndpointConnection connection = idle.poll();
@@ -110,13 +120,17 @@
   private EndpointConnection takeOrOpen(Duration timeout) throws IOException {
     EndpointConnection kept = idle.poll();
     while (kept != null) {
-      if (kept.isQuiet()) {
+      if (kept.isQuiet() && isCurrent(kept)) {
         return kept;
       }
       kept.close();
       kept = idle.poll();
     }
     Duration limit = timeout.compareTo(connectTimeout) < 0 ? timeout : connectTimeout;
-    return EndpointConnection.open(address, maximumReplyBytes, limit);
+    return EndpointConnection.open(address, token.get(), maximumReplyBytes, limit);
+  }
+
+  private boolean isCurrent(EndpointConnection connection) {
+    return connection.token().equals(token.get());
   }
 }
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/EndpointPoller.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/EndpointPoller.java
@@ -5,6 +5,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import org.mimosacleat.core.acknowledgement.PollAnswer;
+import org.mimosacleat.core.id.EndpointId;
 import org.mimosacleat.core.position.LogPosition;
 import org.mimosacleat.core.position.Position;
 import org.mimosacleat.core.position.Term;
@@ -39,20 +40,24 @@
       if (connection == null) {
         connection = EndpointConnection.open(address, MAXIMUM_REPLY_BYTES, timeout);
       }
-      Instant askedAt = clock.instant();
-      return status(connection.query(EndpointStatements.STATUS, timeout), askedAt);
+      return status(address.endpoint(), connection, clock, timeout);
     } catch (IOException | RuntimeException failed) {
       close();
       throw failed;
     }
   }
 
-  private EndpointStatus status(QueryResult result, Instant askedAt) throws IOException {
+  /** Asks once over a connection that the caller holds. */
+  static EndpointStatus status(
+      EndpointId endpoint, EndpointConnection connection, InstantSource clock, Duration timeout)
+      throws IOException {
+    Instant askedAt = clock.instant();
+    QueryResult result = connection.query(EndpointStatements.STATUS, timeout);
     Term timeline = new Term(Long.parseLong(result.first(TIMELINE)));
     String fence = result.first(FENCE_TERM);
     PollAnswer answer =
         new PollAnswer(
-            address.endpoint(),
+            endpoint,
             new Position(timeline, LogPosition.parse(result.first(RECEIVED))),
             new Position(timeline, LogPosition.parse(result.first(REPLAYED))),
             fence.isEmpty() ? timeline : new Term(Long.parseLong(fence)),
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/EndpointWatcher.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/EndpointWatcher.java
@@ -8,8 +8,8 @@
 import org.mimosacleat.core.id.EndpointId;
 
 /**
- * Polls one endpoint for as long as it runs: at an interval, and at once after {@link #poke}. Run
- * it on a thread of its own; {@link #close} ends it.
+ * Polls one endpoint between {@link #resume} and {@link #suspend}: at an interval, and at once
+ * after {@link #poke}. Run it on a thread of its own; {@link #close} ends it.
  */
 final class EndpointWatcher implements Runnable, AutoCloseable {
   private final EndpointId endpoint;
@@ -18,6 +18,7 @@
   private final WatchListener listener;
   private final Semaphore pokes = new Semaphore(0);
   private final AtomicBoolean closed = new AtomicBoolean();
+  private final AtomicBoolean suspended = new AtomicBoolean(true);
 
   EndpointWatcher(
       EndpointId endpoint, EndpointPoller poller, Duration interval, WatchListener listener) {
@@ -32,11 +33,28 @@
     pokes.release();
   }
 
+  /** Starts to poll. */
+  void resume() {
+    suspended.set(false);
+    poke();
+  }
+
+  /** Stops to poll and gives the connection back. */
+  void suspend() {
+    suspended.set(true);
+    poke();
+  }
+
   @Override
   public void run() {
     while (!closed.get()) {
-      pollOnce();
-      pause();
+      if (suspended.get()) {
+        poller.close();
+        awaitPoke();
+      } else {
+        pollOnce();
+        pause();
+      }
     }
     poller.close();
   }
@@ -58,6 +76,15 @@
     }
   }
 
+  private void awaitPoke() {
+    try {
+      pokes.acquire();
+    } catch (InterruptedException interrupted) {
+      closed.set(true);
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private void pause() {
     try {
       pokes.tryAcquire(interval.toNanos(), TimeUnit.NANOSECONDS);
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/EndpointWatchers.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/EndpointWatchers.java
@@ -17,6 +17,16 @@
     byEndpoint.values().forEach(executor::submit);
   }
 
+  /** Starts to poll. */
+  void resume() {
+    byEndpoint.values().forEach(EndpointWatcher::resume);
+  }
+
+  /** Stops to poll. */
+  void suspend() {
+    byEndpoint.values().forEach(EndpointWatcher::suspend);
+  }
+
   /** Has one endpoint polled now. */
   void poke(EndpointId endpoint) {
     byEndpoint.get(endpoint).poke();
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/GroupState.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/GroupState.java
@@ -36,8 +36,7 @@
       AcknowledgementTracker tracker,
       SessionPositions positions,
       LeaseStatus lease) {
-    this.picture =
-        new AtomicReference<>(new Picture(initial, PrimaryHistory.empty(), Instant.MIN, false));
+    this.picture = new AtomicReference<>(new Picture(initial, PrimaryHistory.empty()));
     this.tracker = tracker;
     this.positions = positions;
     this.lease = lease;
@@ -67,17 +66,14 @@
   }
 
   /**
-   * Starts a term; the floor of all sessions is set by the primary's first answer to a question
-   * that was sent after {@code now}.
+   * Serves with this primary from now on.
+   *
+   * @param position includes every write that was acknowledged before
    */
-  void termStarted(Reign reign, Instant now) {
+  void announced(Reign reign, Position position) {
     tracker.termStarted(reign);
-    update(
-        current ->
-            current.snapshot().term().isAfter(reign.term())
-                ? current
-                : new Picture(
-                    withPrimary(current.snapshot(), reign), PrimaryHistory.empty(), now, false));
+    positions.takenOver(position);
+    update(current -> new Picture(withPrimary(current.snapshot(), reign), PrimaryHistory.empty()));
   }
 
   /** Withdraws the primary while a promotion is under way. */
@@ -90,19 +86,13 @@
                     current.snapshot().term(),
                     Optional.empty(),
                     current.snapshot().endpoints()),
-                current.history(),
-                current.since(),
-                false));
+                current.history()));
   }
 
   /** Takes in what an endpoint answered. */
   void answered(PollAnswer answer) {
     tracker.answered(answer);
-    Picture after = update(current -> current.with(answer));
-    if (after.isFirstOfTerm(answer)) {
-      positions.takenOver(answer.received());
-      update(Picture::withFloor);
-    }
+    update(current -> current.with(answer));
   }
 
   /** Marks an endpoint as one that does not answer. */
@@ -136,24 +126,13 @@
    *
    * @param snapshot the group
    * @param history the proven positions of the primary of the snapshot's term
-   * @param since when the term was taken up by this home
-   * @param floorSet whether the floor of all sessions has been set in this term
    */
-  private record Picture(
-      GroupSnapshot snapshot, PrimaryHistory history, Instant since, boolean floorSet) {
-    boolean isFirstOfTerm(PollAnswer answer) {
-      return !floorSet && isOwnPrimary(answer) && !answer.askedAt().isBefore(since);
-    }
-
+  private record Picture(GroupSnapshot snapshot, PrimaryHistory history) {
     boolean isOwnPrimary(PollAnswer answer) {
       return snapshot.isPrimary(answer.endpoint())
           && answer.received().term().equals(snapshot.term());
     }
 
-    Picture withFloor() {
-      return new Picture(snapshot, history, since, true);
-    }
-
     Picture with(PollAnswer answer) {
       Instant askedAt = answer.askedAt();
       List<EndpointView> views =
@@ -162,7 +141,7 @@
               .toList();
       PrimaryHistory longer =
           isOwnPrimary(answer) ? history.with(askedAt, answer.received()) : history;
-      return new Picture(withViews(views), longer, since, floorSet);
+      return new Picture(withViews(views), longer);
     }
 
     private static EndpointView updated(EndpointView view, PollAnswer answer) {
@@ -177,7 +156,7 @@
           snapshot.endpoints().stream()
               .map(view -> view.id().equals(endpoint) ? inState(view, state) : view)
               .toList();
-      return new Picture(withViews(views), history, since, floorSet);
+      return new Picture(withViews(views), history);
     }
 
     private static EndpointView inState(EndpointView view, EndpointState state) {
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/Homes.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/Homes.java
@@ -1,26 +1,48 @@
 package org.mimosacleat.proxy.home;
 
 import io.vavr.control.Either;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.mimosacleat.core.error.ErrorKind;
 import org.mimosacleat.core.error.Failure;
 import org.mimosacleat.core.id.GroupId;
+import org.mimosacleat.core.id.VmId;
+import org.mimosacleat.proxy.settings.GroupSettings;
+import org.mimosacleat.wire.fleet.HomeMessage;
 import org.mimosacleat.wire.peer.WorkAnswer;
 import org.mimosacleat.wire.peer.WorkRequest;
 
-/** The groups that this proxy can be home of. It is the door to this package. */
+/** The groups that this proxy is home of, or may become home of. It is the door to this package. */
 public final class Homes implements AutoCloseable {
-  private final Map<GroupId, RunningHome> homes;
+  private final HomeContext context;
+  private final Map<GroupId, GroupAgent> agents;
 
-  Homes(Map<GroupId, RunningHome> homes) {
-    this.homes = Map.copyOf(homes);
+  private Homes(HomeContext context, Map<GroupId, GroupAgent> agents) {
+    this.context = context;
+    this.agents = Map.copyOf(agents);
+  }
+
+  /** Makes the agents of all groups; {@link #start} sets them to work. */
+  public static Homes of(List<GroupSettings> groups, HomeContext context) {
+    Map<GroupId, GroupAgent> agents = new LinkedHashMap<>();
+    for (GroupSettings group : groups) {
+      agents.put(
+          group.id(), new GroupAgent(group.id(), context, new GroupPartsFactory(group, context)));
+    }
+    return new Homes(context, agents);
+  }
+
+  /** Starts to seek homes and to watch those of others. */
+  public void start() {
+    agents.values().forEach(GroupAgent::start);
   }
 
   /** Runs a batch and waits for its answer. */
   public Either<Failure, WorkAnswer> execute(WorkRequest request, WorkTicket ticket) {
-    return Optional.ofNullable(homes.get(request.group()))
-        .map(home -> home.home().execute(request, ticket))
+    return Optional.ofNullable(agents.get(request.group()))
+        .map(agent -> agent.execute(request, ticket))
         .orElseGet(
             () ->
                 Either.left(
@@ -29,18 +51,37 @@
                         "database group '" + request.group() + "' is not known")));
   }
 
+  /** Takes in a message about a home. */
+  public void received(VmId sender, HomeMessage message) {
+    Optional.ofNullable(agents.get(message.group()))
+        .ifPresent(agent -> agent.received(sender, message));
+  }
+
+  /** Hands all homes over to their next candidates. */
+  public void handOverAll() {
+    agents.values().forEach(GroupAgent::handOver);
+  }
+
+  /** Returns the groups that this proxy serves now. */
+  public List<GroupId> served() {
+    return agents.entrySet().stream()
+        .filter(entry -> entry.getValue().rights().isHome(context.clock().instant()))
+        .map(Map.Entry::getKey)
+        .toList();
+  }
+
   /** Rolls back a transaction whose caller has left. */
   public void abandon(long transaction, TransactionOwner owner) {
-    homes.values().forEach(home -> home.home().abandon(transaction, owner));
+    agents.values().forEach(agent -> agent.home().abandon(transaction, owner));
   }
 
   /** Rolls back all transactions of an owner that was lost. */
   public void abandonAll(TransactionOwner owner) {
-    homes.values().forEach(home -> home.home().abandonAll(owner));
+    agents.values().forEach(agent -> agent.home().abandonAll(owner));
   }
 
   @Override
   public void close() {
-    homes.values().forEach(RunningHome::close);
+    agents.values().forEach(GroupAgent::close);
   }
 }
--- /dev/null
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/LeaseDriver.java
@@ -0,0 +1,125 @@
+package org.mimosacleat.proxy.home;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import org.mimosacleat.core.error.Failure;
+import org.mimosacleat.core.id.GroupId;
+import org.mimosacleat.core.id.VmId;
+import org.mimosacleat.core.lease.LeaseAction;
+import org.mimosacleat.core.lease.LeaseInput;
+import org.mimosacleat.core.lease.LeaseMachine;
+import org.mimosacleat.core.lease.LeaseRights;
+import org.mimosacleat.core.lease.LeaseRow;
+import org.mimosacleat.core.lease.LeaseTimes;
+import org.mimosacleat.core.lease.WriteId;
+import org.mimosacleat.platform.table.WriteResult;
+import org.mimosacleat.proxy.store.LeaseRowStore;
+import org.mimosacleat.wire.fleet.HomeMessage;
+
+/** Feeds the lease machine of a group and carries out its actions. Use it from the mailbox only. */
+final class LeaseDriver {
+  private final GroupId group;
+  private final HomeContext context;
+  private final GroupParts parts;
+  private final Mailbox mailbox;
+  private final LeaseRowStore rows;
+  private final LeaseMachine machine;
+
+  LeaseDriver(GroupId group, HomeContext context, GroupParts parts, Mailbox mailbox) {
+    this.group = group;
+    this.context = context;
+    this.parts = parts;
+    this.mailbox = mailbox;
+    this.rows = new LeaseRowStore(context.table(), context.tableTimeout());
+    this.machine =
+        new LeaseMachine(
+            context.self(), group, context.clock(), LeaseTimes.STANDARD, LeaseDriver::newWriteId);
+  }
+
+  /** Returns what this VM may do; from any thread. */
+  LeaseRights rights() {
+    return machine.rights();
+  }
+
+  Optional<VmId> knownHolder() {
+    return machine.knownHolder();
+  }
+
+  boolean holds() {
+    return machine.holds();
+  }
+
+  void step(LeaseInput input) {
+    machine.step(input).forEach(this::carryOut);
+  }
+
+  /** Has the row read, so that this VM knows who the home is. */
+  void refresh() {
+    carryOut(new LeaseAction.ReadRow());
+  }
+
+  void acquire(String reason) {
+    step(new LeaseInput.Acquire(reason, successorsOf(context.self()), parts.members()));
+  }
+
+  void handOver(VmId to) {
+    step(new LeaseInput.HandOver(to, successorsOf(to)));
+  }
+
+  private List<VmId> successorsOf(VmId home) {
+    return context.messenger().candidates(group).stream().filter(vm -> !vm.equals(home)).toList();
+  }
+
+  private void carryOut(LeaseAction action) {
+    switch (action) {
+      case LeaseAction.ReadRow() -> inBackground(this::read);
+      case LeaseAction.WriteRow write -> inBackground(() -> write(write));
+      case LeaseAction.Fence fence -> inBackground(() -> fence(fence));
+      case LeaseAction.TellNextHome tell ->
+          context
+              .messenger()
+              .tell(tell.to(), new HomeMessage.HandedOver(tell.row(), tell.ceased()));
+      case LeaseAction.Explain explain -> context.journal().add(group, explain.explanation());
+    }
+  }
+
+  private void inBackground(Runnable call) {
+    context.executor().submit(call);
+  }
+
+  private void post(LeaseInput input) {
+    mailbox.post(() -> step(input));
+  }
+
+  private void read() {
+    Either<Failure, Optional<LeaseRow>> row = rows.read(group);
+    post(row.isRight() ? new LeaseInput.RowRead(row.get()) : new LeaseInput.StoreUnanswered());
+  }
+
+  private void write(LeaseAction.WriteRow write) {
+    WriteId writeId = write.row().writeId();
+    post(
+        switch (rows.write(write)) {
+          case WriteResult.Applied applied -> new LeaseInput.WriteApplied(writeId);
+          case WriteResult.ConditionFailed failed -> new LeaseInput.WriteRefused(writeId);
+          case WriteResult.NotSent notSent -> new LeaseInput.StoreUnanswered();
+          case WriteResult.Unknown unknown -> new LeaseInput.StoreUnanswered();
+        });
+  }
+
+  private void fence(LeaseAction.Fence fence) {
+    try {
+      post(parts.administrators().get(fence.endpoint()).acceptToken(fence.token()));
+    } catch (IOException unreachable) {
+      // The machine asks again at its next renewal.
+      return;
+    }
+  }
+
+  private static WriteId newWriteId() {
+    return new WriteId(UUID.randomUUID().toString());
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/Mailbox.java
@@ -0,0 +1,60 @@
+package org.mimosacleat.proxy.home;
+
+import java.time.Duration;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.tinylog.Logger;
+
+/**
+ * Runs tasks one after the other on one thread, and a tick at an interval between them. State
+ * machines that want a single thread live behind one.
+ */
+final class Mailbox implements AutoCloseable {
+  private final LinkedBlockingQueue<Runnable> tasks = new LinkedBlockingQueue<>();
+  private final AtomicBoolean closed = new AtomicBoolean();
+  private final Duration tickInterval;
+  private final Runnable tick;
+
+  Mailbox(Duration tickInterval, Runnable tick) {
+    this.tickInterval = tickInterval;
+    this.tick = tick;
+  }
+
+  void start(ExecutorService executor) {
+    executor.submit(this::run);
+  }
+
+  /** Has a task run; it must not wait. */
+  void post(Runnable task) {
+    tasks.add(task);
+  }
+
+  @Override
+  public void close() {
+    closed.set(true);
+    post(() -> {});
+  }
+
+  private void run() {
+    long nextTick = System.nanoTime();
+    while (!closed.get()) {
+      try {
+        Runnable task = tasks.poll(nextTick - System.nanoTime(), TimeUnit.NANOSECONDS);
+        if (task != null) {
+          task.run();
+        }
+        if (nextTick - System.nanoTime() <= 0) {
+          nextTick = System.nanoTime() + tickInterval.toNanos();
+          tick.run();
+        }
+      } catch (InterruptedException interrupted) {
+        Thread.currentThread().interrupt();
+        return;
+      } catch (RuntimeException defect) {
+        Logger.error(defect, "a task of a home failed");
+      }
+    }
+  }
+}
--- a/proxy/src/main/java/org/mimosacleat/proxy/node/ProxyNode.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/node/ProxyNode.java
@@ -5,101 +5,113 @@
 import java.security.SecureRandom;
 import java.time.Clock;
 import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.stream.Collectors;
+import org.mimosacleat.core.id.GroupId;
+import org.mimosacleat.core.id.VmId;
 import org.mimosacleat.core.time.MonotonicClock;
+import org.mimosacleat.platform.table.TableService;
 import org.mimosacleat.proxy.caller.CallerListener;
 import org.mimosacleat.proxy.dispatch.Dispatcher;
-import org.mimosacleat.proxy.home.HomeFactory;
+import org.mimosacleat.proxy.home.DecisionJournal;
+import org.mimosacleat.proxy.home.HomeContext;
 import org.mimosacleat.proxy.home.Homes;
 import org.mimosacleat.proxy.peer.PeerLinks;
 import org.mimosacleat.proxy.peer.PeerListener;
 import org.mimosacleat.proxy.settings.GroupSettings;
 import org.mimosacleat.proxy.settings.ProxySettings;
+import org.mimosacleat.wire.fleet.HomeMessageCodec;
 import org.mimosacleat.wire.peer.PeerAuthenticator;
+import org.mimosacleat.wire.peer.PeerMessage;
+import org.mimosacleat.wire.peer.PeerProtocolException;
 import org.tinylog.Logger;
 
 /**
  * One proxy.
  *
  * <pre>{@code
- * try (ProxyNode node = ProxyNode.start(settings)) {
+ * try (ProxyNode node = ProxyNode.start(settings, table)) {
  *   node.callerAddress();
  * }
  * }</pre>
  */
 public final class ProxyNode implements AutoCloseable {
-  private static final Duration PEER_TIMEOUT = Duration.ofSeconds(2);
+  private static final Duration PEER_TIMEOUT = Duration.ofMillis(500);
+  private static final Duration TABLE_TIMEOUT = Duration.ofSeconds(1);
   private static final Duration DRAIN_STEP = Duration.ofMillis(20);
 
-  private final ExecutorService executor;
-  private final Homes homes;
+  private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
+  private final Clock clock = new MonotonicClock();
+  private final SecureRandom random = new SecureRandom();
+  private final VmId self;
+  private final DecisionJournal journal = new DecisionJournal(clock);
   private final PeerLinks links;
+  private final Homes homes;
   private final PeerListener peers;
   private final CallerListener callers;
-  private final Clock clock;
 
-  private ProxyNode(
-      ExecutorService executor,
-      Homes homes,
-      PeerLinks links,
-      PeerListener peers,
-      CallerListener callers,
-      Clock clock) {
-    this.executor = executor;
-    this.homes = homes;
-    this.links = links;
-    this.peers = peers;
-    this.callers = callers;
-    this.clock = clock;
-  }
-
-  /**
-   * Starts a proxy.
-   *
-   * @throws IOException if an address cannot be bound
-   */
-  public static ProxyNode start(ProxySettings settings) throws IOException {
-    ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
-    Clock clock = new MonotonicClock();
-    SecureRandom random = new SecureRandom();
-    Homes homes =
-        new HomeFactory(
-                clock,
-                java.util.random.RandomGenerator.getDefault(),
-                settings.self().zone(),
-                settings.limits(),
-                settings.monitor(),
-                executor,
-                (endpoint, reason) -> Logger.debug("poll of {} failed: {}", endpoint, reason))
-            .start(settings.groups());
+  private ProxyNode(ProxySettings settings, TableService table) throws IOException {
+    List<GroupId> groups = settings.groups().stream().map(GroupSettings::id).toList();
+    StaticFleet fleet = new StaticFleet(settings.self(), settings.peers(), groups);
     PeerAuthenticator authenticator =
         new PeerAuthenticator(settings.self().id(), settings.peerKey().value(), random);
     int messageBytes = settings.limits().answerBytes() + settings.limits().frameBytes();
-    StaticFleet fleet = new StaticFleet(settings.self(), settings.peers());
-    PeerLinks links = new PeerLinks(fleet, authenticator, executor, PEER_TIMEOUT, messageBytes);
-    PeerListener peers =
+    this.self = settings.self().id();
+    this.links = new PeerLinks(fleet, authenticator, executor, PEER_TIMEOUT, messageBytes);
+    this.homes =
+        Homes.of(
+            settings.groups(),
+            new HomeContext(
+                settings.self().id(),
+                settings.self().zone(),
+                clock,
+                random,
+                executor,
+                table,
+                TABLE_TIMEOUT,
+                new LinkMessenger(fleet, links, executor),
+                settings.limits(),
+                settings.monitor(),
+                journal));
+    this.peers =
         new PeerListener(
             settings.listen().peers(),
             authenticator,
             homes,
-            (sender, message) -> Logger.debug("fleet message of {}", sender),
+            this::receive,
             executor,
             PEER_TIMEOUT,
             messageBytes);
-    CallerListener callers =
+    this.callers =
         new CallerListener(
             settings.listen().callers(),
-            new Dispatcher(settings.self().id(), fleet, homes, links),
+            new Dispatcher(settings.self().id(), fleet, homes, links, clock, random),
             settings.limits(),
-            settings.groups().stream().map(GroupSettings::id).collect(Collectors.toSet()),
+            java.util.Set.copyOf(groups),
             executor,
             random);
-    peers.start();
-    callers.start();
-    Logger.info("started; clients at {}, peers at {}", callers.address(), peers.address());
-    return new ProxyNode(executor, homes, links, peers, callers, clock);
+  }
+
+  /**
+   * Starts a proxy.
+   *
+   * @param table the platform's table service
+   * @throws IOException if an address cannot be bound
+   */
+  public static ProxyNode start(ProxySettings settings, TableService table) throws IOException {
+    ProxyNode node = new ProxyNode(settings, table);
+    node.peers.start();
+    node.homes.start();
+    node.callers.start();
+    Logger.info("started; clients at {}, peers at {}", node.callerAddress(), node.peerAddress());
+    return node;
+  }
+
+  /** Returns this VM. */
+  public VmId id() {
+    return self;
   }
 
   /** Returns where clients connect. */
@@ -112,17 +124,29 @@
     return peers.address();
   }
 
+  /** Returns the groups that this proxy is home of now. */
+  public List<GroupId> servedGroups() {
+    return homes.served();
+  }
+
+  /** Returns the last decisions in words, oldest first. */
+  public List<String> decisions() {
+    return journal.last();
+  }
+
   /**
-   * Stops gracefully: no new clients, work in flight is finished, then the rest is closed.
+   * Stops gracefully: homes are handed over, no new clients, work in flight is finished, then the
+   * rest is closed.
    *
    * @param limit after which connections with work in flight are cut off
    * @return whether nothing was cut off
    */
   public boolean drain(Duration limit) throws InterruptedException {
-    java.time.Instant end = clock.instant().plus(limit);
+    final Instant end = clock.instant().plus(limit);
     callers.stopAccepting();
+    homes.handOverAll();
     callers.stopIdle();
-    while (callers.connectionCount() > 0 && clock.instant().isBefore(end)) {
+    while (isBusy() && clock.instant().isBefore(end)) {
       Thread.sleep(DRAIN_STEP);
     }
     boolean clean = callers.connectionCount() == 0;
@@ -139,4 +163,20 @@
     homes.close();
     executor.shutdownNow();
   }
+
+  private boolean isBusy() {
+    return callers.connectionCount() > 0 || !homes.served().isEmpty();
+  }
+
+  private void receive(VmId sender, PeerMessage.Fleet message) {
+    if (message.channel() != FleetChannel.HOMES) {
+      Logger.warn("{} sent a message on unknown channel {}", sender, message.channel());
+      return;
+    }
+    try {
+      homes.received(sender, HomeMessageCodec.decode(message.body()));
+    } catch (PeerProtocolException malformed) {
+      Logger.warn("{} sent a malformed message: {}", sender, malformed.getMessage());
+    }
+  }
 }
--- a/proxy/src/main/java/org/mimosacleat/proxy/node/StaticFleet.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/node/StaticFleet.java
@@ -2,30 +2,37 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.Comparator;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import org.mimosacleat.core.id.AvailabilityZone;
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.core.id.VmId;
+import org.mimosacleat.core.placement.Member;
+import org.mimosacleat.core.placement.PlacedGroup;
+import org.mimosacleat.core.placement.PlacementTable;
 import org.mimosacleat.proxy.dispatch.HomeLocator;
 import org.mimosacleat.proxy.peer.PeerDirectory;
 import org.mimosacleat.proxy.settings.PeerSettings;
 
-/** The fleet as the settings name it: the home of a group is the VM with the highest hash. */
+/** The fleet as the settings name it. */
 final class StaticFleet implements HomeLocator, PeerDirectory {
   private final List<PeerSettings> vms;
+  private final PlacementTable placement;
 
-  StaticFleet(PeerSettings self, List<PeerSettings> peers) {
+  StaticFleet(PeerSettings self, List<PeerSettings> peers, List<GroupId> groups) {
     List<PeerSettings> all = new ArrayList<>(peers);
     all.add(self);
     this.vms = List.copyOf(all);
+    this.placement =
+        PlacementTable.of(groups.stream().map(PlacedGroup::new).toList())
+            .withMembers(vms.stream().map(vm -> new Member(vm.id(), vm.zone())).toList());
   }
 
   @Override
-  public Optional<VmId> homeOf(GroupId group) {
-    return vms.stream()
-        .map(PeerSettings::id)
-        .max(Comparator.comparingInt((VmId vm) -> weight(vm, group)).thenComparing(vm -> vm));
+  public List<VmId> likelyHomes(GroupId group) {
+    return placement.groups().contains(group) ? placement.candidates(group) : List.of();
   }
 
   @Override
@@ -33,7 +40,17 @@
     return vms.stream().filter(vm -> vm.id().equals(peer)).map(PeerSettings::address).findFirst();
   }
 
-  private static int weight(VmId vm, GroupId group) {
-    return (vm.value() + '/' + group.value()).hashCode() * 0x9E37_79B9;
+  /** Returns one VM of each availability zone other than {@code own}. */
+  List<VmId> onePerOtherZone(AvailabilityZone own) {
+    Map<AvailabilityZone, VmId> byZone = new LinkedHashMap<>();
+    vms.stream()
+        .filter(vm -> !vm.zone().equals(own))
+        .forEach(vm -> byZone.putIfAbsent(vm.zone(), vm.id()));
+    return List.copyOf(byZone.values());
+  }
+
+  /** Returns the VMs of an availability zone. */
+  List<VmId> inZone(AvailabilityZone zone) {
+    return vms.stream().filter(vm -> vm.zone().equals(zone)).map(PeerSettings::id).toList();
   }
 }
--- a/proxy/src/main/java/org/mimosacleat/proxy/settings/ProxySchema.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/settings/ProxySchema.java
@@ -51,24 +51,24 @@
 
   static final Setting<Long> FRAME_BYTES =
       withDefault(
-          "frame_bytes",
+          "frame-bytes",
           new WholeNumberType(1_024, 1L << 30, "bytes"),
           "16777216",
           "The largest frame or batch of a client.");
   static final Setting<Long> ANSWER_BYTES =
       withDefault(
-          "answer_bytes",
+          "answer-bytes",
           new WholeNumberType(1_024, 1L << 30, "bytes"),
           "67108864",
           "The largest answer that is relayed.");
   static final Setting<Duration> AUTHENTICATION_TIMEOUT =
-      duration("authentication_timeout", "10s", "How long a client may take to authenticate.");
+      duration("authentication-timeout", "10s", "How long a client may take to authenticate.");
   static final Setting<Duration> REQUEST_TIMEOUT =
-      duration("request_timeout", "30s", "How long a batch may take in all.");
+      duration("request-timeout", "30s", "How long a batch may take in all.");
   static final Setting<Duration> IDLE_TRANSACTION_TIMEOUT =
-      duration("idle_transaction_timeout", "60s", "How long a transaction may stay open unused.");
+      duration("idle-transaction-timeout", "60s", "How long a transaction may stay open unused.");
   static final Setting<Duration> SHUTDOWN_TIMEOUT =
-      duration("shutdown_timeout", "30s", "How long a graceful stop waits for work in flight.");
+      duration("shutdown-timeout", "30s", "How long a graceful stop waits for work in flight.");
 
   static final Setting<Duration> MONITOR_INTERVAL =
       duration("interval", "20ms", "Between two questions to an endpoint while no write waits.");
@@ -76,7 +76,7 @@
       duration("timeout", "150ms", "After which a question to an endpoint counts as failed.");
   static final Setting<Duration> CONFIRMATION_TIMEOUT =
       duration(
-          "confirmation_timeout", "10s", "How long a write waits for a replica to confirm it.");
+          "confirmation-timeout", "10s", "How long a write waits for a replica to confirm it.");
 
   static final Setting<String> PEER_ZONE =
       required("zone", new TextType(), "The availability zone of that VM.");
--- /dev/null
+++ b/proxy/src/main/java/org/mimosacleat/proxy/store/LeaseRowStore.java
@@ -0,0 +1,110 @@
+package org.mimosacleat.proxy.store;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.mimosacleat.core.error.Failure;
+import org.mimosacleat.core.id.EndpointId;
+import org.mimosacleat.core.id.GroupId;
+import org.mimosacleat.core.id.VmId;
+import org.mimosacleat.core.lease.FencingToken;
+import org.mimosacleat.core.lease.LeaseAction;
+import org.mimosacleat.core.lease.LeaseRow;
+import org.mimosacleat.core.lease.WriteId;
+import org.mimosacleat.platform.table.Attributes;
+import org.mimosacleat.platform.table.Row;
+import org.mimosacleat.platform.table.RowCondition;
+import org.mimosacleat.platform.table.RowKey;
+import org.mimosacleat.platform.table.RowWrite;
+import org.mimosacleat.platform.table.TableService;
+import org.mimosacleat.platform.table.WriteResult;
+
+/** Keeps the lease row of each group; one row of kind {@value #KIND} a group. */
+public final class LeaseRowStore {
+  /** The kind of these rows. */
+  public static final String KIND = "lease";
+
+  private static final String HOLDER = "holder";
+  private static final String TOKEN = "token";
+  private static final String FIRST_RESERVED = "first_reserved";
+  private static final String SUCCESSORS = "successors";
+  private static final String ENDPOINTS = "endpoints";
+  private static final String SEPARATOR = ",";
+
+  private final TableService table;
+  private final Duration timeout;
+
+  /** Calls {@code table}, each time for {@code timeout} at the most. */
+  public LeaseRowStore(TableService table, Duration timeout) {
+    this.table = table;
+    this.timeout = timeout;
+  }
+
+  /** Reads the row of a group; empty if there is none. */
+  public Either<Failure, Optional<LeaseRow>> read(GroupId group) {
+    return table.get(key(group), timeout).map(row -> row.map(found -> leaseRow(group, found)));
+  }
+
+  /** Writes a row if the one before has the expected write id; waits for the answer. */
+  public WriteResult write(LeaseAction.WriteRow write) {
+    Either<Failure, Optional<Row>> present = table.get(key(write.row().group()), timeout);
+    if (present.isLeft()) {
+      return new WriteResult.NotSent(present.getLeft());
+    }
+    Optional<String> before = present.get().map(row -> row.writer().value());
+    if (!before.equals(write.expected().map(WriteId::value))) {
+      return new WriteResult.ConditionFailed();
+    }
+    RowCondition condition = present.get().map(Row::unchanged).orElseGet(RowCondition.Absent::new);
+    return table.write(
+        new RowWrite.Put(
+            key(write.row().group()),
+            condition,
+            new org.mimosacleat.platform.store.WriteId(write.row().writeId().value()),
+            attributes(write.row())),
+        timeout);
+  }
+
+  private static RowKey key(GroupId group) {
+    return new RowKey(KIND, group.value());
+  }
+
+  private static Attributes attributes(LeaseRow row) {
+    return Attributes.NONE
+        .with(HOLDER, row.holder().value())
+        .with(TOKEN, row.token().number())
+        .with(FIRST_RESERVED, row.firstReserved().number())
+        .with(SUCCESSORS, joinInOrder(row.successors()))
+        .with(ENDPOINTS, join(row.endpoints()));
+  }
+
+  private static LeaseRow leaseRow(GroupId group, Row row) {
+    Attributes attributes = row.attributes();
+    return new LeaseRow(
+        group,
+        new VmId(attributes.text(HOLDER)),
+        new FencingToken(attributes.number(TOKEN)),
+        new FencingToken(attributes.number(FIRST_RESERVED)),
+        split(attributes.text(SUCCESSORS)).map(VmId::new).toList(),
+        split(attributes.text(ENDPOINTS)).map(EndpointId::new).collect(Collectors.toSet()),
+        new WriteId(row.writer().value()));
+  }
+
+  /** The order of the successors says which token is reserved for whom. */
+  private static String joinInOrder(List<VmId> names) {
+    return names.stream().map(VmId::value).collect(Collectors.joining(SEPARATOR));
+  }
+
+  static String join(Collection<?> names) {
+    return names.stream().map(Object::toString).sorted().collect(Collectors.joining(SEPARATOR));
+  }
+
+  static Stream<String> split(String names) {
+    return Arrays.stream(names.split(SEPARATOR)).filter(name -> !name.isEmpty());
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/org/mimosacleat/wire/fleet/HomeMessageCodec.java
@@ -0,0 +1,164 @@
+package org.mimosacleat.wire.fleet;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.stream.Collectors;
+import org.mimosacleat.core.id.AvailabilityZone;
+import org.mimosacleat.core.id.EndpointId;
+import org.mimosacleat.core.id.GroupId;
+import org.mimosacleat.core.id.VmId;
+import org.mimosacleat.core.lease.FencingToken;
+import org.mimosacleat.core.lease.LeaseRow;
+import org.mimosacleat.core.lease.WriteId;
+import org.mimosacleat.wire.peer.PeerProtocolException;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** Turns messages about homes into MessagePack and back. */
+public final class HomeMessageCodec {
+  private static final int HEARTBEAT = 1;
+  private static final int SILENCE_QUESTION = 2;
+  private static final int SILENCE_ANSWER = 3;
+  private static final int EVIDENCE_QUESTION = 4;
+  private static final int EVIDENCE_ANSWER = 5;
+  private static final int HANDED_OVER = 6;
+
+  private HomeMessageCodec() {}
+
+  /** Returns the bytes of a message. */
+  public static byte[] encode(HomeMessage message) throws IOException {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      pack(packer, message);
+      return packer.toByteArray();
+    }
+  }
+
+  /**
+   * Reads a message.
+   *
+   * @throws PeerProtocolException if the bytes are no message
+   */
+  public static HomeMessage decode(byte[] bytes) throws PeerProtocolException {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+      return unpack(unpacker);
+    } catch (PeerProtocolException malformed) {
+      throw malformed;
+    } catch (IOException | RuntimeException malformed) {
+      throw new PeerProtocolException("home message: " + malformed.getMessage());
+    }
+  }
+
+  private static void pack(MessagePacker packer, HomeMessage message) throws IOException {
+    packer.packInt(typeOf(message)).packString(message.group().value());
+    switch (message) {
+      case HomeMessage.Heartbeat heartbeat -> packer.packLong(heartbeat.token().number());
+      case HomeMessage.SilenceQuestion question -> packer.packString(question.home().value());
+      case HomeMessage.SilenceAnswer answer ->
+          packer
+              .packString(answer.home().value())
+              .packString(answer.zone().value())
+              .packLong(answer.silence().toNanos());
+      case HomeMessage.EvidenceQuestion question ->
+          packer.packString(question.endpoint().value()).packLong(question.round());
+      case HomeMessage.EvidenceAnswer answer ->
+          packer
+              .packString(answer.zone().value())
+              .packLong(answer.round())
+              .packBoolean(answer.reachable());
+      case HomeMessage.HandedOver handedOver -> packHandOver(packer, handedOver);
+    }
+  }
+
+  private static int typeOf(HomeMessage message) {
+    return switch (message) {
+      case HomeMessage.Heartbeat any -> HEARTBEAT;
+      case HomeMessage.SilenceQuestion any -> SILENCE_QUESTION;
+      case HomeMessage.SilenceAnswer any -> SILENCE_ANSWER;
+      case HomeMessage.EvidenceQuestion any -> EVIDENCE_QUESTION;
+      case HomeMessage.EvidenceAnswer any -> EVIDENCE_ANSWER;
+      case HomeMessage.HandedOver any -> HANDED_OVER;
+    };
+  }
+
+  private static void packHandOver(MessagePacker packer, HomeMessage.HandedOver handedOver)
+      throws IOException {
+    LeaseRow row = handedOver.row();
+    packer
+        .packString(row.holder().value())
+        .packLong(row.token().number())
+        .packLong(row.firstReserved().number())
+        .packString(row.writeId().value())
+        .packLong(handedOver.ceased().number());
+    packStrings(packer, row.successors().stream().map(VmId::value).toList());
+    packStrings(packer, row.endpoints().stream().map(EndpointId::value).toList());
+  }
+
+  private static HomeMessage unpack(MessageUnpacker unpacker) throws IOException {
+    int type = unpacker.unpackInt();
+    GroupId group = new GroupId(unpacker.unpackString());
+    return switch (type) {
+      case HEARTBEAT -> new HomeMessage.Heartbeat(group, new FencingToken(unpacker.unpackLong()));
+      case SILENCE_QUESTION ->
+          new HomeMessage.SilenceQuestion(group, new VmId(unpacker.unpackString()));
+      case SILENCE_ANSWER ->
+          new HomeMessage.SilenceAnswer(
+              group,
+              new VmId(unpacker.unpackString()),
+              new AvailabilityZone(unpacker.unpackString()),
+              Duration.ofNanos(unpacker.unpackLong()));
+      case EVIDENCE_QUESTION ->
+          new HomeMessage.EvidenceQuestion(
+              group, new EndpointId(unpacker.unpackString()), unpacker.unpackLong());
+      case EVIDENCE_ANSWER ->
+          new HomeMessage.EvidenceAnswer(
+              group,
+              new AvailabilityZone(unpacker.unpackString()),
+              unpacker.unpackLong(),
+              unpacker.unpackBoolean());
+      case HANDED_OVER -> unpackHandOver(unpacker, group);
+      default -> throw new PeerProtocolException("home message: unknown type " + type);
+    };
+  }
+
+  private static HomeMessage unpackHandOver(MessageUnpacker unpacker, GroupId group)
+      throws IOException {
+    VmId holder = new VmId(unpacker.unpackString());
+    FencingToken token = new FencingToken(unpacker.unpackLong());
+    FencingToken firstReserved = new FencingToken(unpacker.unpackLong());
+    WriteId writeId = new WriteId(unpacker.unpackString());
+    FencingToken ceased = new FencingToken(unpacker.unpackLong());
+    List<VmId> successors = unpackStrings(unpacker).stream().map(VmId::new).toList();
+    return new HomeMessage.HandedOver(
+        new LeaseRow(
+            group,
+            holder,
+            token,
+            firstReserved,
+            successors,
+            unpackStrings(unpacker).stream().map(EndpointId::new).collect(Collectors.toSet()),
+            writeId),
+        ceased);
+  }
+
+  private static void packStrings(MessagePacker packer, Collection<String> strings)
+      throws IOException {
+    packer.packArrayHeader(strings.size());
+    for (String string : strings) {
+      packer.packString(string);
+    }
+  }
+
+  private static List<String> unpackStrings(MessageUnpacker unpacker) throws IOException {
+    int count = unpacker.unpackArrayHeader();
+    List<String> strings = new ArrayList<>();
+    for (int index = 0; index < count; index++) {
+      strings.add(unpacker.unpackString());
+    }
+    return strings;
+  }
+}
--- a/wire/src/main/java/org/mimosacleat/wire/peer/WorkRequest.java
+++ b/wire/src/main/java/org/mimosacleat/wire/peer/WorkRequest.java
@@ -49,6 +49,24 @@
     settings = List.copyOf(settings);
   }
 
+  /** Returns the same request with another time until the deadline. */
+  public WorkRequest withTimeLeft(Duration left) {
+    return new WorkRequest(
+        group,
+        customer,
+        session,
+        transaction,
+        kind,
+        maximumAge,
+        requestId,
+        repeatable,
+        settings,
+        fingerprint,
+        left,
+        traceParent,
+        frames);
+  }
+
   /** Tells whether the batch belongs to an open transaction. */
   public boolean isInTransaction() {
     return transaction != NO_TRANSACTION;
