--- a/proxy/src/main/java/org/mimosacleat/proxy/caller/BatchHandler.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/caller/BatchHandler.java
@@ -68,7 +68,7 @@
     if (session.hasLostTransaction()) {
       return Optional.of(answerInLostTransaction(plan));
     }
-    return refusal(plan).map(failure -> LocalAnswer.failed(failure, statusAfterRefusal()));
+    return refusal(plan).map(failure -> LocalAnswer.failed(failure, session.status()));
   }
 
   private static Optional<HintStatement> hintOf(BatchPlan plan) {
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/GroupState.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/GroupState.java
@@ -16,6 +16,7 @@
 import org.mimosacleat.core.group.EndpointView;
 import org.mimosacleat.core.group.GroupSnapshot;
 import org.mimosacleat.core.id.EndpointId;
+import org.mimosacleat.core.position.Position;
 import org.mimosacleat.core.routing.GroupKnowledge;
 import org.mimosacleat.core.routing.PrimaryHistory;
 import org.mimosacleat.core.session.SessionPositions;
