--- a/lab/src/main/java/org/mimosacleat/lab/demo/FleetPlan.java
+++ b/lab/src/main/java/org/mimosacleat/lab/demo/FleetPlan.java
@@ -42,6 +42,11 @@
         1);
   }
 
+  /** Returns this plan with another number of proxies. */
+  public FleetPlan withProxies(int count) {
+    return new FleetPlan(zones, count, groups, instances, endpoints, seed);
+  }
+
   /** Returns the availability zone of the VM or endpoint with this number. */
   AvailabilityZone zoneOf(int number) {
     return zones.get(number % zones.size());
--- a/lab/src/main/java/org/mimosacleat/lab/demo/FleetSettings.java
+++ b/lab/src/main/java/org/mimosacleat/lab/demo/FleetSettings.java
@@ -42,6 +42,7 @@
         limits(),
         monitor(),
         PEER_KEY,
+        defaults().platform(),
         AuthenticationMode.TRUST,
         IntStream.range(0, plan.proxies())
             .filter(other -> other != number)
@@ -92,6 +93,12 @@
         address = 127.0.0.1:1
         [fleet]
         key = key of a local demonstration
+        [platform]
+        table-endpoint = http://127.0.0.1:1
+        object-endpoint = http://127.0.0.1:1
+        region = local
+        access-key = local
+        secret-key = local
         """;
     return ProxySettingsReader.read(required)
         .getOrElseThrow(problems -> new IllegalStateException(problems.toString()));
--- /dev/null
+++ b/proxy/src/main/java/org/mimosacleat/proxy/command/PlatformFactory.java
@@ -0,0 +1,30 @@
+package org.mimosacleat.proxy.command;
+
+import java.security.SecureRandom;
+import java.time.InstantSource;
+import org.mimosacleat.core.store.StoreGate;
+import org.mimosacleat.core.store.StoreLimits;
+import org.mimosacleat.core.time.MonotonicClock;
+import org.mimosacleat.core.time.Sleeper;
+import org.mimosacleat.platform.aws.AwsPlatform;
+import org.mimosacleat.platform.store.StorePacer;
+import org.mimosacleat.proxy.settings.ProxySettings;
+
+/** Opens the platform's services, paced by the share that this process has of them. */
+final class PlatformFactory {
+  private static final double STORE_REQUESTS_PER_SECOND = 1_000;
+
+  private PlatformFactory() {}
+
+  static AwsPlatform open(ProxySettings settings) {
+    InstantSource clock = new MonotonicClock();
+    return new AwsPlatform(
+        settings.platform(), pacer(settings, clock), pacer(settings, clock), clock);
+  }
+
+  private static StorePacer pacer(ProxySettings settings, InstantSource clock) {
+    int fleetSize = settings.peers().size() + 1;
+    StoreLimits limits = StoreLimits.forFleet(fleetSize, STORE_REQUESTS_PER_SECOND);
+    return new StorePacer(new StoreGate(limits, clock, new SecureRandom()), clock, Sleeper.SYSTEM);
+  }
+}
--- a/proxy/src/main/java/org/mimosacleat/proxy/command/ProxyCommand.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/command/ProxyCommand.java
@@ -13,6 +13,7 @@
     mixinStandardHelpOptions = true,
     version = "mimosacleat 0.1.0",
     subcommands = {
+      RunCommand.class,
       CheckCommand.class,
       PrintDefaultsCommand.class,
       AutoComplete.GenerateCompletion.class
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/GroupPartsFactory.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/GroupPartsFactory.java
@@ -30,7 +30,6 @@
   static final int RESERVED_CONNECTIONS = 3;
 
   private static final int SESSION_SLOTS = 1 << 13;
-  private static final Duration PROOF_LIFETIME = Duration.ofMillis(500);
 
   private final GroupSettings group;
   private final HomeContext context;
@@ -76,7 +75,7 @@
             unknown.term(),
             Optional.empty(),
             group.endpoints().stream().map(GroupPartsFactory::unseen).toList()),
-        new ReplicaAcknowledgementTracker(context.clock(), lease, PROOF_LIFETIME, unknown),
+        new ReplicaAcknowledgementTracker(context.clock(), lease, unknown),
         new SessionPositionTable(SESSION_SLOTS),
         lease);
   }
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/GroupState.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/GroupState.java
@@ -79,6 +79,7 @@
 
   /** Withdraws the primary while a promotion is under way. */
   void primaryLost() {
+    tracker.withdrawn();
     update(
         current ->
             new Picture(
--- a/proxy/src/main/java/org/mimosacleat/proxy/settings/ProxySchema.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/settings/ProxySchema.java
@@ -17,6 +17,7 @@
 import org.mimosacleat.core.settings.SettingsSchema;
 import org.mimosacleat.core.settings.TextType;
 import org.mimosacleat.core.settings.WholeNumberType;
+import org.mimosacleat.platform.aws.PlatformSettings;
 import org.mimosacleat.wire.peer.PeerAuthenticator;
 
 /** The sections and keys of a proxy's settings file. */
@@ -120,6 +121,7 @@
               single("node", "This VM.", List.of(NODE_ID, NODE_ZONE, ADVERTISED)),
               single("listen", "Where this proxy listens.", List.of(CALLERS, PEERS, OPERATIONS)),
               single("fleet", "What all proxies have in common.", List.of(PEER_KEY)),
+              PlatformSettings.SCHEMA,
               single("authentication", "Who may connect.", List.of(AUTHENTICATION)),
               single(
                   "limits",
--- a/proxy/src/main/java/org/mimosacleat/proxy/settings/ProxySettings.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/settings/ProxySettings.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.mimosacleat.core.settings.Secret;
+import org.mimosacleat.platform.aws.PlatformSettings;
 
 /**
  * The settings of one proxy.
@@ -11,6 +12,7 @@
  * @param limits limits on connections
  * @param monitor how endpoints are watched
  * @param peerKey the key that all proxies of the fleet share
+ * @param platform where the platform's services are
  * @param authentication how callers prove who they are
  * @param peers the other VMs that are known at the start
  * @param groups the database groups
@@ -21,6 +23,7 @@
     LimitSettings limits,
     MonitorSettings monitor,
     Secret peerKey,
+    PlatformSettings platform,
     AuthenticationMode authentication,
     List<PeerSettings> peers,
     List<GroupSettings> groups) {
--- a/proxy/src/main/java/org/mimosacleat/proxy/settings/ProxySettingsReader.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/settings/ProxySettingsReader.java
@@ -11,6 +11,7 @@
 import org.mimosacleat.core.settings.SettingsProblem;
 import org.mimosacleat.core.settings.SettingsReader;
 import org.mimosacleat.core.settings.SettingsSection;
+import org.mimosacleat.platform.aws.PlatformSettings;
 
 /** Reads a proxy's settings and checks what spans several sections. */
 public final class ProxySettingsReader {
@@ -63,6 +64,7 @@
         limits(settings.section("limits")),
         monitor(settings.section("monitor")),
         settings.get("fleet", ProxySchema.PEER_KEY),
+        PlatformSettings.from(settings.section("platform")),
         settings.get("authentication", ProxySchema.AUTHENTICATION),
         settings.sections("peer").stream().map(ProxySettingsReader::peer).toList(),
         settings.sections("group").stream().map(section -> group(settings, section)).toList());
