Decide repeats by the error table, a budget and recorded request ids

Cause: a booking or approval that is repeated blindly runs twice; one that is never repeated fails with every lost connection. Change: BudgetedRetryPolicy repeats what the table allows within a budget and the deadline, never sends work twice that may not be repeated, and reports the failure of an attempt that may have run rather than that of a later one that did not. RecordRepeatDecider answers a repeat from the record that its work wrote in the same transaction; the statements are data. Tests: 500 random runs of failures and 200 of lost answers; two wrong variants are caught.

--- /dev/null
+++ b/core/src/main/java/org/mimosacleat/core/idempotency/RepeatDecision.java
@@ -0,0 +1,18 @@
+package org.mimosacleat.core.idempotency;
+
+import org.mimosacleat.core.error.Failure;
+
+/** What to do with a request that has a request id. */
+public sealed interface RepeatDecision {
+  /** Run the work in the open transaction, record its answer there, and commit. */
+  record Run() implements RepeatDecision {}
+
+  /**
+   * Roll back, and return the recorded answer once the primary's position is acknowledged: until
+   * then the record itself may still be lost with the primary.
+   */
+  record ReturnRecorded(RecordedAnswer answer) implements RepeatDecision {}
+
+  /** Roll back, and answer with the failure. */
+  record Refuse(Failure failure) implements RepeatDecision {}
+}
--- /dev/null
+++ b/core/src/main/java/org/mimosacleat/core/retry/Attempts.java
@@ -0,0 +1,46 @@
+package org.mimosacleat.core.retry;
+
+import java.time.Instant;
+import java.util.Optional;
+import org.mimosacleat.core.check.Checks;
+import org.mimosacleat.core.error.Failure;
+import org.mimosacleat.core.error.Outcome;
+
+/**
+ * The attempts of one request so far; immutable.
+ *
+ * @param repeatable whether the work may run twice: a read, or work with a request id
+ * @param deadline when the caller stops waiting
+ * @param failed the number of failed attempts
+ * @param sent whether any of them was sent to an endpoint
+ * @param undecided the latest failure of an attempt that may have run, if there was one
+ */
+public record Attempts(
+    boolean repeatable, Instant deadline, int failed, boolean sent, Optional<Failure> undecided) {
+  /** Checks the parts. */
+  public Attempts {
+    Checks.notNull("deadline", deadline);
+    Checks.notNegative("failed attempts", failed);
+    Checks.notNull("undecided failure", undecided);
+  }
+
+  /** Returns a request without any attempt. */
+  public static Attempts none(boolean repeatable, Instant deadline) {
+    return new Attempts(repeatable, deadline, 0, false, Optional.empty());
+  }
+
+  /**
+   * Returns these attempts with one more that failed.
+   *
+   * @param wasSent whether any of its work was sent to an endpoint
+   */
+  public Attempts with(Failure failure, boolean wasSent) {
+    boolean decided = failure.kind().outcome() == Outcome.NOT_RUN;
+    return new Attempts(
+        repeatable,
+        deadline,
+        failed + 1,
+        sent || wasSent,
+        decided ? undecided : Optional.of(failure));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mimosacleat/core/retry/BudgetedRetryPolicy.java
@@ -0,0 +1,70 @@
+package org.mimosacleat.core.retry;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.random.RandomGenerator;
+import org.mimosacleat.core.check.Checks;
+import org.mimosacleat.core.error.Failure;
+
+/**
+ * Repeats what the error table allows, with exponential backoff and full jitter, while the budget
+ * and the deadline last.
+ *
+ * <p>Work that may not be repeated is never sent twice, not even after a failure that says it did
+ * not run. The failure given back is that of an attempt that may have run, if there was any: a
+ * later attempt that certainly did not run says nothing of it.
+ */
+public final class BudgetedRetryPolicy implements RetryPolicy {
+  private static final int MAXIMUM_DOUBLINGS = 20;
+
+  private final InstantSource clock;
+  private final RandomGenerator random;
+  private final RetrySettings settings;
+  private final RetryBudget budget;
+
+  /** Makes a policy with a full budget, shared by all requests of a proxy. */
+  public BudgetedRetryPolicy(InstantSource clock, RandomGenerator random, RetrySettings settings) {
+    this.clock = Checks.notNull("clock", clock);
+    this.random = Checks.notNull("random generator", random);
+    this.settings = Checks.notNull("retry settings", settings);
+    this.budget = new RetryBudget(settings.budgetShare(), settings.budgetBurst());
+  }
+
+  @Override
+  public void started() {
+    budget.earn();
+  }
+
+  @Override
+  public RetryDecision decide(Attempts attempts, Failure failure) {
+    Duration wait = backoff(attempts.failed());
+    if (!isAllowed(attempts, failure) || !fits(wait, attempts.deadline()) || !budget.take()) {
+      return new RetryDecision.GiveUp(attempts.undecided().orElse(failure));
+    }
+    return new RetryDecision.RetryAfter(wait);
+  }
+
+  private static boolean isAllowed(Attempts attempts, Failure failure) {
+    if (!attempts.repeatable() && attempts.sent()) {
+      return false;
+    }
+    return switch (failure.kind().retryAdvice()) {
+      case ANY -> true;
+      case IDEMPOTENT_ONLY -> attempts.repeatable();
+      case NEVER -> false;
+    };
+  }
+
+  private boolean fits(Duration wait, Instant deadline) {
+    Instant earliestEnd = clock.instant().plus(wait).plus(settings.minimumTimeLeft());
+    return earliestEnd.isBefore(deadline);
+  }
+
+  private Duration backoff(int failed) {
+    int doublings = Math.min(Math.max(failed - 1, 0), MAXIMUM_DOUBLINGS);
+    long bound =
+        Math.min(settings.maximumWait().toNanos(), settings.firstWait().toNanos() << doublings);
+    return Duration.ofNanos(random.nextLong(bound + 1));
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/mimosacleat/core/idempotency/RecordRepeatDeciderTest.java
@@ -0,0 +1,109 @@
+package org.mimosacleat.core.idempotency;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.NotEmpty;
+import org.junit.jupiter.api.Test;
+import org.mimosacleat.core.error.ErrorKind;
+import org.mimosacleat.core.id.CustomerId;
+import org.mimosacleat.core.id.RequestId;
+
+class RecordRepeatDeciderTest {
+  private static final RequestId REQUEST = new RequestId("booking-17");
+  private static final CustomerId CUSTOMER = new CustomerId("whare-rentals");
+  private static final WorkFingerprint WORK = new WorkFingerprint("a1");
+  private static final RecordedAnswer ANSWER = new RecordedAnswer("INSERT 0 1");
+
+  private final RepeatDecider decider = new RecordRepeatDecider();
+
+  @Test
+  void repeatReturnsTheRecordedAnswer() {
+    assertEquals(new RepeatDecision.Run(), decide(new RecordLookup.Inserted()));
+    assertEquals(
+        new RepeatDecision.ReturnRecorded(ANSWER), decide(existing(WORK, Optional.of(ANSWER))));
+  }
+
+  @Test
+  void idOfOtherWorkIsRefusedAsNotRun() {
+    RepeatDecision decision = decide(existing(new WorkFingerprint("b2"), Optional.of(ANSWER)));
+
+    assertEquals(ErrorKind.INVALID_SETTING, refusal(decision));
+  }
+
+  @Test
+  void idThatIsHeldOrHasNoAnswerIsInDoubt() {
+    assertEquals(ErrorKind.REQUEST_IN_DOUBT, refusal(decide(new RecordLookup.Held())));
+    assertEquals(ErrorKind.REQUEST_IN_DOUBT, refusal(decide(existing(WORK, Optional.empty()))));
+  }
+
+  @Property(seed = "4006", tries = 200)
+  void workRunsOnceHoweverOftenItIsSentAndWhateverAnswersAreLost(
+      @ForAll @NotEmpty List<Fate> fates) {
+    assertTrue(runs(decider, fates) <= 1, fates.toString());
+  }
+
+  @Test
+  void oracleCatchesTheDeciderThatForgets() {
+    List<Fate> twice = List.of(Fate.LOST_AFTER_COMMIT, Fate.ANSWERED);
+
+    assertEquals(2, runs(new ForgetfulRepeatDecider(), twice));
+    assertEquals(1, runs(decider, twice));
+  }
+
+  private static int runs(RepeatDecider decider, List<Fate> fates) {
+    Map<RequestId, RequestRecord> table = new HashMap<>();
+    int runs = 0;
+    for (Fate fate : fates) {
+      RecordLookup lookup =
+          table.containsKey(REQUEST)
+              ? new RecordLookup.Existing(table.get(REQUEST))
+              : new RecordLookup.Inserted();
+      RepeatDecision decision = decider.decide(REQUEST, CUSTOMER, WORK, lookup);
+      if (decision instanceof RepeatDecision.Run && fate != Fate.LOST_BEFORE_COMMIT) {
+        runs++;
+        table.put(REQUEST, record(WORK, Optional.of(ANSWER)));
+      }
+    }
+    return runs;
+  }
+
+  @Test
+  void statementsNameAsManyParametersAsTheyHave() {
+    for (RecordStatement statement : RecordStatement.values()) {
+      int highest = statement.parameters();
+      assertTrue(highest == 0 || statement.sql().contains("$" + highest), statement.sql());
+      assertTrue(!statement.sql().contains("$" + (highest + 1)), statement.sql());
+    }
+  }
+
+  private RepeatDecision decide(RecordLookup lookup) {
+    return decider.decide(REQUEST, CUSTOMER, WORK, lookup);
+  }
+
+  private static RecordLookup existing(WorkFingerprint work, Optional<RecordedAnswer> answer) {
+    return new RecordLookup.Existing(record(work, answer));
+  }
+
+  private static RequestRecord record(WorkFingerprint work, Optional<RecordedAnswer> answer) {
+    return new RequestRecord(REQUEST, CUSTOMER, work, answer);
+  }
+
+  private static ErrorKind refusal(RepeatDecision decision) {
+    return assertInstanceOf(RepeatDecision.Refuse.class, decision).failure().kind();
+  }
+
+  /** What happens to one sending of the request. */
+  enum Fate {
+    ANSWERED,
+    LOST_BEFORE_COMMIT,
+    LOST_AFTER_COMMIT
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/mimosacleat/core/retry/BudgetedRetryPolicyTest.java
@@ -0,0 +1,127 @@
+package org.mimosacleat.core.retry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.NotEmpty;
+import org.junit.jupiter.api.Test;
+import org.mimosacleat.core.error.ErrorKind;
+import org.mimosacleat.core.error.Failure;
+import org.mimosacleat.core.error.Outcome;
+import org.mimosacleat.core.time.PausedClock;
+
+class BudgetedRetryPolicyTest {
+  private final PausedClock clock = new PausedClock();
+
+  @Property(seed = "4005", tries = 500)
+  void oneShotWorkIsSentOnceAndNotRunIsNeverClaimedOfWorkThatRan(
+      @ForAll @NotEmpty List<ErrorKind> failures, @ForAll boolean repeatable) {
+    Run run = run(policy(), failures, repeatable);
+
+    assertTrue(repeatable || run.sent() <= 1, failures.toString());
+    assertFalse(run.liesAboutNotRun(), failures.toString());
+  }
+
+  @Test
+  void oraclesCatchThePolicyThatRepeatsEverything() {
+    Run run =
+        run(
+            new RepeatEverythingPolicy(),
+            List.of(
+                ErrorKind.CONNECTION_LOST,
+                ErrorKind.UNAVAILABLE,
+                ErrorKind.UNAVAILABLE,
+                ErrorKind.UNAVAILABLE),
+            false);
+
+    assertTrue(run.liesAboutNotRun());
+    Run doubled =
+        run(
+            new RepeatEverythingPolicy(),
+            List.of(ErrorKind.CONNECTION_LOST, ErrorKind.CONNECTION_LOST),
+            false);
+    assertTrue(doubled.sent() > 1);
+  }
+
+  @Test
+  void repeatsStayWithinTheBudget() {
+    RetryPolicy policy = policy();
+    int repeats = 0;
+    for (int request = 0; request < 2_000; request++) {
+      policy.started();
+      Attempts attempts = attempts(true).with(failure(ErrorKind.UNAVAILABLE), false);
+      if (policy.decide(attempts, failure(ErrorKind.UNAVAILABLE))
+          instanceof RetryDecision.RetryAfter) {
+        repeats++;
+      }
+    }
+
+    RetrySettings settings = RetrySettings.DEFAULT;
+    assertEquals(settings.budgetBurst() + 2_000 * settings.budgetShare(), repeats, 1);
+  }
+
+  @Test
+  void repeatThatCannotEndBeforeTheDeadlineIsNotSent() {
+    Attempts late =
+        Attempts.none(true, clock.instant().plus(RetrySettings.DEFAULT.minimumTimeLeft()))
+            .with(failure(ErrorKind.UNAVAILABLE), false);
+
+    assertInstanceOf(
+        RetryDecision.GiveUp.class, policy().decide(late, failure(ErrorKind.UNAVAILABLE)));
+  }
+
+  @Test
+  void waitsAreSpreadAndGrow() {
+    RetryPolicy policy = policy();
+    Attempts attempts = attempts(true);
+    Duration longest = Duration.ZERO;
+    for (int attempt = 0; attempt < 12; attempt++) {
+      attempts = attempts.with(failure(ErrorKind.UNAVAILABLE), false);
+      RetryDecision.RetryAfter retry =
+          assertInstanceOf(
+              RetryDecision.RetryAfter.class,
+              policy.decide(attempts, failure(ErrorKind.UNAVAILABLE)));
+      assertTrue(retry.delay().compareTo(RetrySettings.DEFAULT.maximumWait()) <= 0);
+      longest = retry.delay().compareTo(longest) > 0 ? retry.delay() : longest;
+    }
+    assertTrue(longest.compareTo(RetrySettings.DEFAULT.firstWait()) > 0);
+  }
+
+  /** Feeds the failures to the policy in turn; work of an unknown outcome is taken to have run. */
+  private Run run(RetryPolicy policy, List<ErrorKind> failures, boolean repeatable) {
+    Attempts attempts = attempts(repeatable);
+    int sent = 0;
+    boolean ran = false;
+    for (ErrorKind kind : failures) {
+      boolean mayHaveRun = kind.outcome() != Outcome.NOT_RUN;
+      sent += mayHaveRun ? 1 : 0;
+      ran |= mayHaveRun;
+      attempts = attempts.with(failure(kind), mayHaveRun);
+      if (policy.decide(attempts, failure(kind)) instanceof RetryDecision.GiveUp(Failure last)) {
+        return new Run(sent, ran && last.kind().outcome() == Outcome.NOT_RUN);
+      }
+    }
+    return new Run(sent, false);
+  }
+
+  private RetryPolicy policy() {
+    return new BudgetedRetryPolicy(clock, new Random(1), RetrySettings.DEFAULT);
+  }
+
+  private Attempts attempts(boolean repeatable) {
+    return Attempts.none(repeatable, clock.instant().plusSeconds(60));
+  }
+
+  private static Failure failure(ErrorKind kind) {
+    return new Failure(kind, "test");
+  }
+
+  private record Run(int sent, boolean liesAboutNotRun) {}
+}
--- /dev/null
+++ b/core/src/test/java/org/mimosacleat/core/retry/RepeatEverythingPolicy.java
@@ -0,0 +1,19 @@
+package org.mimosacleat.core.retry;
+
+import java.time.Duration;
+import org.mimosacleat.core.error.Failure;
+
+/** A wrong policy: it repeats whatever failed, and reports the last failure. */
+final class RepeatEverythingPolicy implements RetryPolicy {
+  private static final int MAXIMUM_ATTEMPTS = 4;
+
+  @Override
+  public void started() {}
+
+  @Override
+  public RetryDecision decide(Attempts attempts, Failure failure) {
+    return attempts.failed() < MAXIMUM_ATTEMPTS
+        ? new RetryDecision.RetryAfter(Duration.ZERO)
+        : new RetryDecision.GiveUp(failure);
+  }
+}
