Run both deployments' workloads against an oracle

Workload drives sessions that roam over proxies through the stock driver and remembers in memory how each write ended; in the end it reads the tables from the primary and counts lost, repeated, torn and wrongly refused writes and stale reads, besides served, refused and unknown requests and the longest time without an acknowledged write.

--- /dev/null
+++ b/lab/src/main/java/org/mimosacleat/lab/workload/AnswerClassifier.java
@@ -0,0 +1,48 @@
+package org.mimosacleat.lab.workload;
+
+import java.sql.SQLException;
+import java.util.Arrays;
+import java.util.Optional;
+import org.mimosacleat.core.error.ErrorKind;
+import org.mimosacleat.core.error.Outcome;
+import org.postgresql.util.PSQLException;
+import org.postgresql.util.ServerErrorMessage;
+
+/** Tells from an error what is known of the request. */
+final class AnswerClassifier {
+  private AnswerClassifier() {}
+
+  /**
+   * Classifies the error of a write or a commit. Proxies name the error kind in the detail; an
+   * error that a server sent without one failed the statement; all else lost the connection.
+   */
+  static RequestOutcome classify(SQLException error) {
+    Optional<ServerErrorMessage> message = serverMessage(error);
+    if (message.isEmpty()) {
+      return RequestOutcome.UNKNOWN;
+    }
+    return message
+        .map(ServerErrorMessage::getDetail)
+        .flatMap(AnswerClassifier::kindNamed)
+        .map(kind -> outcomeOf(kind.outcome()))
+        .orElse(RequestOutcome.REFUSED);
+  }
+
+  private static RequestOutcome outcomeOf(Outcome outcome) {
+    return switch (outcome) {
+      case NOT_RUN -> RequestOutcome.REFUSED;
+      case RAN -> RequestOutcome.SERVED;
+      case UNKNOWN -> RequestOutcome.UNKNOWN;
+    };
+  }
+
+  private static Optional<ServerErrorMessage> serverMessage(SQLException error) {
+    return error instanceof PSQLException known
+        ? Optional.ofNullable(known.getServerErrorMessage())
+        : Optional.empty();
+  }
+
+  private static Optional<ErrorKind> kindNamed(String name) {
+    return Arrays.stream(ErrorKind.values()).filter(kind -> kind.name().equals(name)).findFirst();
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/org/mimosacleat/lab/workload/Scenario.java
@@ -0,0 +1,36 @@
+package org.mimosacleat.lab.workload;
+
+import java.time.Duration;
+import java.util.List;
+
+/**
+ * The requests of one deployment.
+ *
+ * @param name the operator
+ * @param actions what sessions do, each as often as it is listed
+ */
+public record Scenario(String name, List<Action> actions) {
+  /** Members book meters, advocates check which are free, inspectors upload readings. */
+  public static final Scenario KAITIAKI =
+      new Scenario(
+          "kaitiaki",
+          List.of(
+              new Action.Charge("book", "booking"),
+              new Action.Append("upload", "reading"),
+              new Action.Browse("check", "reading", Duration.ofMillis(500))));
+
+  /** Crews log coats, supervisors approve work orders, neighbours look at the map. */
+  public static final Scenario CARTAGO =
+      new Scenario(
+          "cartago",
+          List.of(
+              new Action.Charge("approve", "approval"),
+              new Action.Append("log coat", "coat"),
+              new Action.Browse("map", "coat", Duration.ofSeconds(2)),
+              new Action.Browse("map", "coat", Duration.ofSeconds(2))));
+
+  /** Copies the actions. */
+  public Scenario {
+    actions = List.copyOf(actions);
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/org/mimosacleat/lab/workload/StoredEntries.java
@@ -0,0 +1,81 @@
+package org.mimosacleat.lab.workload;
+
+import java.sql.Connection;
+import java.sql.ResultSet;
+import java.sql.SQLException;
+import java.sql.Statement;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/** Creates the tables and reads them in full, from the primary, through any proxy that answers. */
+final class StoredEntries {
+  private static final int MOST_ATTEMPTS = 60;
+  private static final Duration PAUSE_BETWEEN_ATTEMPTS = Duration.ofMillis(500);
+
+  private final WorkloadSettings settings;
+
+  StoredEntries(WorkloadSettings settings) {
+    this.settings = settings;
+  }
+
+  void createTables() throws SQLException, InterruptedException {
+    for (String database : settings.databases()) {
+      for (Action action : settings.scenario().actions()) {
+        String key = action instanceof Action.Charge ? "" : " PRIMARY KEY";
+        String create =
+            "CREATE TABLE IF NOT EXISTS " + action.table() + " (id text" + key + ", session text)";
+        attempt(
+            database,
+            connection -> {
+              try (Statement statement = connection.createStatement()) {
+                statement.execute(create);
+              }
+              return create;
+            });
+      }
+    }
+  }
+
+  /** Returns how often each id is stored. */
+  Map<String, Integer> counts(String database, String table)
+      throws SQLException, InterruptedException {
+    return attempt(database, connection -> readCounts(connection, table));
+  }
+
+  /** A transaction that may write reads on the primary. */
+  private static Map<String, Integer> readCounts(Connection connection, String table)
+      throws SQLException {
+    Map<String, Integer> counts = new HashMap<>();
+    connection.setAutoCommit(false);
+    try (Statement statement = connection.createStatement();
+        ResultSet rows = statement.executeQuery("SELECT id FROM " + table)) {
+      while (rows.next()) {
+        counts.merge(rows.getString(1), 1, Integer::sum);
+      }
+    }
+    connection.rollback();
+    return counts;
+  }
+
+  private <T> T attempt(String database, DatabaseTask<T> task)
+      throws SQLException, InterruptedException {
+    SQLException last = null;
+    for (int attempt = 0; attempt < MOST_ATTEMPTS; attempt++) {
+      int proxy = attempt % settings.proxies().size();
+      try (ProxyConnections connections =
+          new ProxyConnections(settings, database, "workload-" + database)) {
+        return task.run(connections.get(proxy, Optional.empty()));
+      } catch (SQLException refused) {
+        last = refused;
+        Thread.sleep(PAUSE_BETWEEN_ATTEMPTS);
+      }
+    }
+    throw last;
+  }
+
+  private interface DatabaseTask<T> {
+    T run(Connection connection) throws SQLException;
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/org/mimosacleat/lab/workload/Workload.java
@@ -0,0 +1,89 @@
+package org.mimosacleat.lab.workload;
+
+import java.sql.SQLException;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+/**
+ * Runs the requests of one deployment through proxies and checks what became of them. Faults are up
+ * to the caller: switch them on while {@link #run} runs in another thread.
+ */
+public final class Workload {
+  private static final Duration PROGRESS_INTERVAL = Duration.ofSeconds(1);
+  private static final Duration WAIT_FOR_REPLICATION = Duration.ofSeconds(1);
+
+  private final WorkloadSettings settings;
+  private final InstantSource clock;
+  private final RandomGenerator random;
+  private final Consumer<WorkloadProgress> progress;
+
+  /** Makes a workload; {@code progress} is told every second where it stands. */
+  public Workload(
+      WorkloadSettings settings,
+      InstantSource clock,
+      RandomGenerator random,
+      Consumer<WorkloadProgress> progress) {
+    this.settings = settings;
+    this.clock = clock;
+    this.random = random;
+    this.progress = progress;
+  }
+
+  /**
+   * Creates the tables, runs all sessions to the end, and compares what is stored with what was
+   * answered.
+   *
+   * @throws SQLException if the tables can be neither created nor read in the end
+   */
+  public WorkloadReport run() throws SQLException, InterruptedException {
+    StoredEntries stored = new StoredEntries(settings);
+    stored.createTables();
+    Thread.sleep(WAIT_FOR_REPLICATION);
+    Instant start = clock.instant();
+    WorkloadMeters meters = new WorkloadMeters(settings, start);
+    WriteOracle oracle = new WriteOracle();
+    runSessions(start, meters, oracle);
+    Duration longestGap = meters.longestGap(start.plus(settings.duration()));
+    Violations violations = new Verification(stored).compare(settings, oracle, meters.staleReads());
+    return new WorkloadReport(settings.scenario().name(), meters.reports(), longestGap, violations);
+  }
+
+  private void runSessions(Instant start, WorkloadMeters meters, WriteOracle oracle)
+      throws InterruptedException {
+    Instant end = start.plus(settings.duration());
+    try (ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor()) {
+      long run = random.nextLong(Integer.MAX_VALUE);
+      for (int number = 0; number < settings.sessions(); number++) {
+        String database = settings.databases().get(number % settings.databases().size());
+        String session = settings.scenario().name() + "-" + run + "-" + number;
+        RandomGenerator own = new SplittableRandom(random.nextLong());
+        executor.execute(
+            new SessionWorker(settings, database, session, meters, oracle, clock, end, own));
+      }
+      executor.shutdown();
+      reportUntilDone(executor, start, meters);
+    }
+  }
+
+  private void reportUntilDone(ExecutorService executor, Instant start, WorkloadMeters meters)
+      throws InterruptedException {
+    while (!executor.awaitTermination(PROGRESS_INTERVAL.toMillis(), TimeUnit.MILLISECONDS)) {
+      List<ActionReport> reports = meters.reports();
+      progress.accept(
+          new WorkloadProgress(
+              Duration.between(start, clock.instant()),
+              settings.duration(),
+              reports.stream().mapToLong(ActionReport::served).sum(),
+              reports.stream().mapToLong(ActionReport::refused).sum(),
+              reports.stream().mapToLong(ActionReport::unknown).sum()));
+    }
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/org/mimosacleat/lab/workload/WorkloadMeters.java
@@ -0,0 +1,58 @@
+package org.mimosacleat.lab.workload;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.LongAdder;
+
+/** All counts of one run. */
+final class WorkloadMeters {
+  /** The line for reads of a session's own writes through another proxy. */
+  static final String READ_BACK = "read back";
+
+  private final Map<String, ActionMeter> actions = new LinkedHashMap<>();
+  private final Map<String, GapMeter> gaps = new LinkedHashMap<>();
+  private final LongAdder staleReads = new LongAdder();
+
+  WorkloadMeters(WorkloadSettings settings, Instant start) {
+    for (Action action : settings.scenario().actions()) {
+      actions.putIfAbsent(action.name(), new ActionMeter());
+    }
+    actions.put(READ_BACK, new ActionMeter());
+    for (String database : settings.databases()) {
+      gaps.put(database, new GapMeter(start));
+    }
+  }
+
+  ActionMeter action(String name) {
+    return actions.get(name);
+  }
+
+  GapMeter gap(String database) {
+    return gaps.get(database);
+  }
+
+  void countStaleRead() {
+    staleReads.increment();
+  }
+
+  long staleReads() {
+    return staleReads.sum();
+  }
+
+  Duration longestGap(Instant now) {
+    return gaps.values().stream()
+        .map(gap -> gap.longest(now))
+        .max(Duration::compareTo)
+        .orElse(Duration.ZERO);
+  }
+
+  List<ActionReport> reports() {
+    List<ActionReport> reports = new ArrayList<>();
+    actions.forEach((name, meter) -> reports.add(meter.report(name)));
+    return reports;
+  }
+}
