Fuzz the decisions of three proxies together against an oracle

Each decision had its own tests, but no run put the lease, the promotion, the acknowledgements, the session positions and the router of several proxies side by side under faults that come together.

One world holds three proxies' decisions and three endpoints of a group, with a table of two rows and a paused clock; jqwik's action chains draw writes, reads, lost and late messages, pauses, kills, cuts, frozen and lagging endpoints, outages of the table and wrong suspicions.

Not covered yet: mixed and crossed answers, graceful shutdown, and lists.

--- /dev/null
+++ b/lab/src/test/java/org/mimosacleat/lab/fuzz/Mutants.java
@@ -0,0 +1,161 @@
+package org.mimosacleat.lab.fuzz;
+
+import io.vavr.control.Either;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.mimosacleat.core.acknowledgement.AcknowledgementTracker;
+import org.mimosacleat.core.acknowledgement.LeaseStatus;
+import org.mimosacleat.core.acknowledgement.PollAnswer;
+import org.mimosacleat.core.acknowledgement.Reign;
+import org.mimosacleat.core.error.ErrorKind;
+import org.mimosacleat.core.error.Failure;
+import org.mimosacleat.core.group.EndpointState;
+import org.mimosacleat.core.group.GroupSnapshot;
+import org.mimosacleat.core.id.AvailabilityZone;
+import org.mimosacleat.core.id.SessionId;
+import org.mimosacleat.core.lease.LeaseRights;
+import org.mimosacleat.core.position.Position;
+import org.mimosacleat.core.routing.Freshness;
+import org.mimosacleat.core.routing.GroupKnowledge;
+import org.mimosacleat.core.routing.RouteRequest;
+import org.mimosacleat.core.routing.Router;
+import org.mimosacleat.core.session.SessionPositions;
+
+/** Decisions that are wrong in one way each; the fuzz has to find every one. */
+enum Mutants implements Decisions {
+  /** Acknowledges as soon as the primary has the write. */
+  ACKNOWLEDGES_WITHOUT_REPLICA("replaced primary") {
+    @Override
+    public AcknowledgementTracker tracker(InstantSource clock, LeaseStatus lease, Reign reign) {
+      return new AcknowledgementTracker() {
+        @Override
+        public CompletableFuture<Either<Failure, Position>> await(
+            Position commit, Instant deadline) {
+          return CompletableFuture.completedFuture(Either.right(commit));
+        }
+
+        @Override
+        public void answered(PollAnswer answer) {}
+
+        @Override
+        public void termStarted(Reign reign) {}
+
+        @Override
+        public void withdrawn() {}
+
+        @Override
+        public void tick() {}
+      };
+    }
+  },
+
+  /** Goes on to trust a lease after a pause. */
+  TRUSTS_LAPSED_LEASE("replaced primary") {
+    @Override
+    public LeaseStatus lease(InstantSource clock, Supplier<LeaseRights> rights) {
+      return () -> !rights.get().equals(LeaseRights.NONE);
+    }
+  },
+
+  /** Forgets what sessions wrote. */
+  FORGETS_SESSIONS("read your writes") {
+    @Override
+    public SessionPositions positions() {
+      SessionPositions real = Decisions.REAL.positions();
+      return new SessionPositions() {
+        @Override
+        public Optional<Position> required(SessionId session) {
+          return real.required(session);
+        }
+
+        @Override
+        public Optional<Position> highest() {
+          return real.highest();
+        }
+
+        @Override
+        public void acknowledged(SessionId session, Position commit) {}
+
+        @Override
+        public void takenOver(Position position) {
+          real.takenOver(position);
+        }
+      };
+    }
+  },
+
+  /** Takes any live replica. */
+  IGNORES_POSITION("read your writes") {
+    @Override
+    public Router router(InstantSource clock, RandomGenerator random, AvailabilityZone zone) {
+      Router real = Decisions.REAL.router(clock, random, zone);
+      return (request, knowledge) ->
+          real.route(
+              new RouteRequest(
+                  request.kind(),
+                  new Freshness.OwnWrites(Optional.of(Position.NONE)),
+                  request.arrivedAt(),
+                  request.deadline()),
+              knowledge);
+    }
+  },
+
+  /** Takes a lost answer for work that did not run. */
+  CALLS_LOST_ANSWER_NOT_RUN("not run") {
+    @Override
+    public ErrorKind unanswered() {
+      return ErrorKind.UNAVAILABLE;
+    }
+
+    @Override
+    public boolean maySendAgain(ErrorKind kind) {
+      return false;
+    }
+  },
+
+  /** Repeats work of which the outcome is not known. */
+  REPEATS_UNKNOWN_WORK("at most once") {
+    @Override
+    public boolean maySendAgain(ErrorKind kind) {
+      return true;
+    }
+  },
+
+  /** Sends work to endpoints that are leaving. */
+  IGNORES_LEAVING("leaving endpoint") {
+    @Override
+    public Router router(InstantSource clock, RandomGenerator random, AvailabilityZone zone) {
+      Router real = Decisions.REAL.router(clock, random, zone);
+      return (request, knowledge) -> real.route(request, withoutLeaving(knowledge));
+    }
+
+    private GroupKnowledge withoutLeaving(GroupKnowledge knowledge) {
+      GroupSnapshot seen = knowledge.snapshot();
+      GroupSnapshot all =
+          new GroupSnapshot(
+              seen.group(),
+              seen.term(),
+              seen.primary(),
+              seen.endpoints().stream()
+                  .map(view -> GroupPicture.inState(view, EndpointState.LIVE))
+                  .toList());
+      return new GroupKnowledge(
+          all, knowledge.history(), knowledge.acknowledged(), knowledge.leaseHeld());
+    }
+  };
+
+  private final String violates;
+
+  Mutants(String violates) {
+    this.violates = violates;
+  }
+
+  /** Returns the start of the violation that the mutant causes. */
+  String violates() {
+    return violates;
+  }
+}
