--- /dev/null
+++ b/lab/src/main/java/org/mimosacleat/lab/measure/lists/GatedRetries.java
@@ -0,0 +1,38 @@
+package org.mimosacleat.lab.measure.lists;
+
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.mimosacleat.core.store.Admission;
+import org.mimosacleat.core.store.StoreGate;
+import org.mimosacleat.core.store.StoreLimits;
+
+/** The product's own gate. */
+final class GatedRetries implements Retries {
+  private final InstantSource clock;
+  private final StoreGate gate;
+
+  GatedRetries(StoreLimits limits, InstantSource clock, RandomGenerator random) {
+    this.clock = clock;
+    this.gate = new StoreGate(limits, clock, random);
+  }
+
+  @Override
+  public Optional<Instant> waitUntil() {
+    return switch (gate.admit()) {
+      case Admission.Admitted _ -> Optional.empty();
+      case Admission.Deferred(Instant retryAt) -> Optional.of(retryAt);
+    };
+  }
+
+  @Override
+  public Instant report(boolean answered) {
+    if (answered) {
+      gate.succeeded();
+    } else {
+      gate.failed();
+    }
+    return clock.instant();
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/org/mimosacleat/lab/measure/lists/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements of how list versions are ordered and of the return of the store. */
+package org.mimosacleat.lab.measure.lists;
