Take a candidate that never served again without a grace

Cause: after a candidate was lost in mid-promotion and came back, the machine waited 100 ms for other endpoints, as it does to pass over the earlier primary. Change: the grace applies to a primary that has served only.

--- a/core/src/main/java/org/mimosacleat/core/promotion/FencingPromotionMachine.java
+++ b/core/src/main/java/org/mimosacleat/core/promotion/FencingPromotionMachine.java
@@ -327,9 +327,10 @@
       return;
     }
     Duration waited = Duration.between(fencing.majorityAt().get(), now());
-    boolean graceOver = waited.compareTo(settings.fenceGrace()) >= 0;
+    // A candidate that never served is as good as any other.
+    boolean acceptEarlier = !complete || waited.compareTo(settings.fenceGrace()) >= 0;
     choice()
-        .choose(fencing.fenced(), graceOver)
+        .choose(fencing.fenced(), acceptEarlier)
         .ifPresent(candidate -> promote(candidate, fencing));
   }
 
--- a/core/src/test/java/org/mimosacleat/core/promotion/FencingPromotionMachineTest.java
+++ b/core/src/test/java/org/mimosacleat/core/promotion/FencingPromotionMachineTest.java
@@ -165,6 +165,18 @@
     assertEquals(promote(A, 3), actions.getLast());
   }
 
+  @Test
+  void candidateThatNeverServedIsTakenAgainWithoutGrace() {
+    serveWithReservedTerms();
+    losePrimary(true);
+    give(fenced(B, 2, 90), fenced(C, 2, 100));
+    give(new PromotionInput.PollFailed(C), new PromotionInput.PollFailed(C));
+    give(fenced(B, 3, 90));
+    give(new PromotionInput.FenceAnswered(C, new Term(3), new Term(3), at(2, 101)));
+
+    assertEquals(promote(C, 3), actions.getLast());
+  }
+
   @Test
   void withoutReservedTermThePrimaryThatAnswersAgainServesOnWhileTheTableIsDown() {
     gain(row(1, Optional.of(A)));
