--- /dev/null
+++ b/lab/src/test/java/org/mimosacleat/lab/measure/consistency/ReadRunTest.java
@@ -0,0 +1,21 @@
+package org.mimosacleat.lab.measure.consistency;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.mimosacleat.lab.measure.Deployment;
+
+class ReadRunTest {
+  @Test
+  void routerServesNoStaleReadAndNoMoreThanTheBound() {
+    ReadRun run = new ReadRun(Deployment.KAITIAKI, 1, 62);
+    run.run();
+    ReadShares own = run.ownReads();
+
+    assertEquals(0, own.routedStale() + run.agedReads().routedStale());
+    assertTrue(own.randomStale() > 0);
+    assertTrue(own.routedPercent() > own.randomPercent());
+    assertTrue(own.routedPercent() <= own.boundWithWaitPercent());
+  }
+}
