--- a/core/src/main/java/org/mimosacleat/core/admission/HomeShares.java
+++ b/core/src/main/java/org/mimosacleat/core/admission/HomeShares.java
@@ -19,7 +19,7 @@
  * its customer, and pass the answers to {@link #accept}. Not safe for several threads.
  */
 public final class HomeShares {
-  /** How often a home reports its use. */
+  /** How often a home looks whether reports are due. */
   public static final Duration REPORT_INTERVAL = Duration.ofMillis(100);
 
   private static final long MILLISECONDS_PER_SECOND = 1000;
@@ -27,7 +27,7 @@
   private final VmId home;
   private final AdmissionGate gate;
   private final InstantSource clock;
-  private final Map<CustomerId, Map<Resource, ShareHolder>> holders = new HashMap<>();
+  private final Map<CustomerId, Map<Resource, HomeShare>> holders = new HashMap<>();
   private Instant lastReports;
 
   /** Starts with no customers. */
@@ -43,9 +43,9 @@
     if (holders.containsKey(customer)) {
       return;
     }
-    Map<Resource, ShareHolder> byResource = new EnumMap<>(Resource.class);
+    Map<Resource, HomeShare> byResource = new EnumMap<>(Resource.class);
     for (Resource resource : Resource.values()) {
-      byResource.put(resource, new ShareHolder(customer, resource, home, clock));
+      byResource.put(resource, new HomeShare(new ShareHolder(customer, resource, home, clock)));
     }
     holders.put(customer, byResource);
   }
@@ -56,25 +56,27 @@
     holders.clear();
   }
 
-  /** Returns a report for each customer and resource, to the coordinator of the customer. */
+  /** Returns the reports that are due, to the coordinators of their customers. */
   public List<ShareReport> reports(Function<CustomerId, VmId> coordinatorOf) {
     Instant now = clock.instant();
     long elapsed = Math.max(1, Duration.between(lastReports, now).toMillis());
     lastReports = now;
     List<ShareReport> reports = new ArrayList<>();
     holders.forEach(
-        (customer, byResource) ->
-            byResource.forEach(
-                (resource, holder) ->
-                    reports.add(
-                        holder.report(
-                            coordinatorOf.apply(customer), demand(customer, resource, elapsed)))));
+        (customer, byResource) -> {
+          VmId coordinator = coordinatorOf.apply(customer);
+          byResource.forEach(
+              (resource, share) -> {
+                long demand = demand(customer, resource, elapsed);
+                share.report(coordinator, demand, now).ifPresent(reports::add);
+              });
+        });
     return reports;
   }
 
   /** Applies an answer of a coordinator, if it answers the latest report. */
   public void accept(ShareGrant grant) {
-    Map<Resource, ShareHolder> byResource = holders.get(grant.customer());
+    Map<Resource, HomeShare> byResource = holders.get(grant.customer());
     if (byResource != null && byResource.get(grant.resource()).accept(grant)) {
       gate.setShare(grant.customer(), grant.resource(), grant.units());
     }
--- a/core/src/main/java/org/mimosacleat/core/admission/ShareCoordinator.java
+++ b/core/src/main/java/org/mimosacleat/core/admission/ShareCoordinator.java
@@ -21,7 +21,7 @@
  */
 public final class ShareCoordinator {
   /** How long a report is taken to describe its holder. */
-  public static final Duration REPORT_LIFETIME = Duration.ofSeconds(1);
+  public static final Duration REPORT_LIFETIME = Duration.ofSeconds(3);
 
   private final VmId self;
   private final InstantSource clock;
--- a/core/src/main/java/org/mimosacleat/core/credit/LedgerInput.java
+++ b/core/src/main/java/org/mimosacleat/core/credit/LedgerInput.java
@@ -22,6 +22,13 @@
    */
   record RowRead(Optional<LedgerRow> row) implements LedgerInput {}
 
+  /**
+   * Another proxy has sent the latest row that it knows.
+   *
+   * @param row that row
+   */
+  record Heard(LedgerRow row) implements LedgerInput {}
+
   /** The latest write took effect. */
   record Written() implements LedgerInput {}
 
--- a/core/src/main/java/org/mimosacleat/core/credit/LedgerMachine.java
+++ b/core/src/main/java/org/mimosacleat/core/credit/LedgerMachine.java
@@ -16,7 +16,9 @@
  * <p>Pass every event to {@link #step} and carry out the actions that it returns; at most one is
  * under way at a time. Pass a {@link LedgerInput.Tick} about once a second and hold the fleet's
  * spending to {@link #cap}. Several proxies may run a machine on the same ledger: one of them
- * writes each row, and the others take it over. Not safe for several threads.
+ * writes each row, and the others take it over. Proxies also send each other the latest row that
+ * they know, so that a proxy that starts while the store is away knows the cap. Not safe for
+ * several threads.
  *
  * <p>Before a row is written the period before is settled: with what was spent if that is known,
  * else with all that could have been spent.
@@ -47,6 +49,7 @@
     return switch (input) {
       case LedgerInput.Tick tick -> tick(tick);
       case LedgerInput.RowRead read -> rowRead(read.row());
+      case LedgerInput.Heard heard -> heard(heard.row());
       case LedgerInput.Written written -> written();
       case LedgerInput.Conflict conflict -> read();
       case LedgerInput.Lost lost -> lost();
@@ -90,8 +93,12 @@
     if (read.isEmpty()) {
       return row == null ? write(firstRow()) : List.of();
     }
-    boolean newer = row == null || read.get().sequence() > row.sequence();
-    row = newer ? read.get() : row;
+    return heard(read.get());
+  }
+
+  private List<LedgerAction> heard(LedgerRow other) {
+    boolean newer = row == null || other.sequence() > row.sequence();
+    row = newer ? other : row;
     return List.of();
   }
 
--- a/core/src/test/java/org/mimosacleat/core/credit/LedgerPropertyTest.java
+++ b/core/src/test/java/org/mimosacleat/core/credit/LedgerPropertyTest.java
@@ -82,6 +82,21 @@
     assertEquals(10, loser.cap(), 0.001);
   }
 
+  @Example
+  void proxyThatStartsWithoutTheStoreTakesTheCapOfAnother() {
+    PausedClock clock = new PausedClock();
+    LedgerMachine machine = new LedgerMachine(pacer(clock), clock, new SplittableRandom(1));
+    Instant until = clock.instant().plusSeconds(600);
+    LedgerRow latest =
+        new LedgerRow(7, "other", clock.instant(), until, 6000, 100_000, DemandProfile.UNKNOWN);
+    LedgerRow earlier =
+        new LedgerRow(6, "other", clock.instant(), until, 9000, 100_000, DemandProfile.UNKNOWN);
+    machine.step(new LedgerInput.Heard(latest));
+    machine.step(new LedgerInput.Heard(earlier));
+
+    assertEquals(10, machine.cap(), 0.001);
+  }
+
   private static String anyFault(Variant variant) {
     for (long seed = 1; seed <= 40; seed++) {
       String fault = new Run(seed, variant).firstFault();
--- a/lab/src/main/java/org/mimosacleat/lab/measure/load/RoamingExperiment.java
+++ b/lab/src/main/java/org/mimosacleat/lab/measure/load/RoamingExperiment.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.stream.Stream;
 import org.mimosacleat.core.admission.AdmissionGate;
 import org.mimosacleat.core.admission.Allowance;
@@ -64,14 +65,19 @@
   }
 
   private static List<Reading> readings(Division division, Deployment deployment, long seed) {
-    int[] admitted = admitted(division, deployment.groups(), seed);
+    LongAdder reports = new LongAdder();
+    int[] admitted = admitted(division, deployment.groups(), seed, reports);
+    double reportsPerSecond =
+        (double) reports.sum() / deployment.groups() / (MILLISECONDS / SECOND);
     double second = over(busiest(admitted, SECOND), RATE);
     double tenSeconds = over(busiest(admitted, TEN_SECONDS), 10 * RATE);
     double used = 100.0 * Arrays.stream(admitted).sum() / (RATE * (MILLISECONDS / SECOND));
     return List.of(
         new Reading("over-admission in the worst 1 s", division.label, "%", second, "<= 5"),
         new Reading("over-admission in the worst 10 s", division.label, "%", tenSeconds, "<= 0"),
-        new Reading("part of the allowance received", division.label, "%", used, ""));
+        new Reading("part of the allowance received", division.label, "%", used, ""),
+        new Reading(
+            "reports of a home for a customer", division.label, "1/s", reportsPerSecond, ""));
   }
 
   private static double over(long count, long limit) {
@@ -88,7 +94,7 @@
     return busiest;
   }
 
-  private static int[] admitted(Division division, int homes, long seed) {
+  private static int[] admitted(Division division, int homes, long seed, LongAdder reportCount) {
     SplittableRandom random = new SplittableRandom(seed);
     PausedClock clock = new PausedClock();
     List<AdmissionGate> gates = new ArrayList<>();
@@ -120,16 +126,18 @@
         boolean in = gates.get(home).admit(CUSTOMER).peek(Permit::close).isRight();
         admitted[millisecond] += in ? 1 : 0;
       }
-      boolean reports = millisecond % HomeShares.REPORT_INTERVAL.toMillis() == 0;
-      if (reports && division == Division.SHARES_BY_DEMAND) {
-        shares.forEach(share -> exchange(share, coordinators));
+      boolean due = millisecond % HomeShares.REPORT_INTERVAL.toMillis() == 0;
+      if (due && division == Division.SHARES_BY_DEMAND) {
+        shares.forEach(share -> exchange(share, coordinators, reportCount));
       }
     }
     return admitted;
   }
 
-  private static void exchange(HomeShares share, ShareCoordinators coordinators) {
+  private static void exchange(
+      HomeShares share, ShareCoordinators coordinators, LongAdder reportCount) {
     for (ShareReport report : share.reports(customer -> COORDINATOR)) {
+      reportCount.increment();
       coordinators.report(report).ifPresent(share::accept);
     }
   }
