--- /dev/null
+++ b/lab/src/main/java/org/mimosacleat/lab/measure/fleet/MembershipFleet.java
@@ -0,0 +1,145 @@
+package org.mimosacleat.lab.measure.fleet;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import org.mimosacleat.core.id.VmId;
+import org.mimosacleat.core.membership.MemberRecord;
+import org.mimosacleat.core.membership.MemberStatus;
+import org.mimosacleat.core.membership.MembershipAction;
+import org.mimosacleat.core.membership.MembershipInput;
+import org.mimosacleat.core.membership.MembershipMachine;
+import org.mimosacleat.core.membership.MembershipMessage;
+import org.mimosacleat.core.membership.MembershipTimes;
+import org.mimosacleat.core.time.PausedClock;
+
+/**
+ * A fleet in memory of which some members are real machines. A message to one of the others is
+ * handled by a real machine in its place, so that each real machine carries the load of one member
+ * of the whole fleet.
+ */
+final class MembershipFleet {
+  static final Duration TICK = Duration.ofMillis(100);
+
+  private final PausedClock clock = new PausedClock();
+  private final List<MembershipMachine> machines = new ArrayList<>();
+  private final Set<Integer> failed = new HashSet<>();
+  private final Traffic traffic = new Traffic();
+  private final int members;
+  private final Random random;
+
+  MembershipFleet(int members, int real, long seed) {
+    this.members = members;
+    this.random = new Random(seed);
+    for (int index = 0; index < real; index++) {
+      machines.add(
+          new MembershipMachine(
+              FleetNames.record(index, 1),
+              clock,
+              new Random(random.nextLong()),
+              MembershipTimes.STANDARD));
+    }
+    machines.forEach(
+        machine -> machine.step(new MembershipInput.Listed(FleetNames.listed(members))));
+  }
+
+  Traffic traffic() {
+    return traffic;
+  }
+
+  List<MembershipMachine> machines() {
+    return machines;
+  }
+
+  void fail(int index) {
+    failed.add(index);
+  }
+
+  /** Lets a member that is not a real machine restart: it pings a real one with its new record. */
+  void restartStub(long incarnation) {
+    int index = machines.size() + random.nextInt(members - machines.size());
+    MemberRecord record = FleetNames.record(index, incarnation);
+    give(
+        random.nextInt(machines.size()),
+        new MembershipInput.Received(new MembershipMessage.Ping(record, 0, List.of(record))));
+  }
+
+  void run(Duration duration) {
+    for (long tick = 0; tick < duration.dividedBy(TICK); tick++) {
+      clock.advance(TICK);
+      for (int index = 0; index < machines.size(); index++) {
+        give(index, new MembershipInput.Tick());
+      }
+    }
+  }
+
+  /** Runs until every real machine that lives believes that all failed ones are dead. */
+  Duration runUntilFailuresAreKnown(Duration atMost) {
+    Duration passed = Duration.ZERO;
+    while (!areFailuresKnown() && passed.compareTo(atMost) < 0) {
+      run(TICK);
+      passed = passed.plus(TICK);
+    }
+    return passed;
+  }
+
+  private boolean areFailuresKnown() {
+    for (int index = 0; index < machines.size(); index++) {
+      if (!failed.contains(index) && !knowsFailures(machines.get(index))) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private boolean knowsFailures(MembershipMachine machine) {
+    return failed.stream().noneMatch(index -> machine.view().isLive(FleetNames.vm(index)));
+  }
+
+  private void give(int index, MembershipInput input) {
+    if (failed.contains(index)) {
+      return;
+    }
+    long start = ProcessorTime.now();
+    List<MembershipAction> actions = machines.get(index).step(input);
+    traffic.addNanoseconds(ProcessorTime.now() - start);
+    for (MembershipAction action : actions) {
+      if (action instanceof MembershipAction.Send send) {
+        traffic.add(MessageSize.of(send.message()));
+        deliver(send.to(), send.message());
+      }
+    }
+  }
+
+  private void deliver(VmId to, MembershipMessage message) {
+    int index = Integer.parseInt(to.value().substring("entry-".length()));
+    if (index < machines.size()) {
+      give(index, new MembershipInput.Received(message));
+      return;
+    }
+    int substitute = random.nextInt(machines.size());
+    switch (message) {
+      case MembershipMessage.Ping ping -> acknowledgeFor(index, substitute, ping);
+      case MembershipMessage.Compare compare ->
+          give(substitute, new MembershipInput.Received(compare));
+      case MembershipMessage.Acknowledgement answer -> {}
+      case MembershipMessage.IndirectPing ping -> {}
+      case MembershipMessage.Bucket bucket -> {}
+    }
+  }
+
+  private void acknowledgeFor(int stub, int substitute, MembershipMessage.Ping ping) {
+    give(substitute, new MembershipInput.Received(ping));
+    MemberRecord known = machines.get(substitute).view().member(FleetNames.vm(stub)).orElseThrow();
+    MemberRecord sender =
+        known.status() == MemberStatus.ALIVE ? known : known.withIncarnation(known.incarnation());
+    int origin = Integer.parseInt(ping.sender().vm().value().substring("entry-".length()));
+    give(
+        origin,
+        new MembershipInput.Received(
+            new MembershipMessage.Acknowledgement(sender, ping.sequence(), List.of())));
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/org/mimosacleat/lab/measure/fleet/MessageSize.java
@@ -0,0 +1,136 @@
+package org.mimosacleat.lab.measure.fleet;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.List;
+import java.util.Map;
+import org.mimosacleat.core.lists.ListKind;
+import org.mimosacleat.core.lists.ListVersion;
+import org.mimosacleat.core.lists.PublishedList;
+import org.mimosacleat.core.membership.MemberRecord;
+import org.mimosacleat.core.membership.MembershipMessage;
+import org.mimosacleat.core.spread.ListDelta;
+import org.mimosacleat.core.spread.ListUpdate;
+import org.mimosacleat.core.spread.SpreadMessage;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+
+/**
+ * Counts the bytes of a message on the wire: MessagePack arrays without field names, plus the
+ * headers of IP and UDP.
+ */
+final class MessageSize {
+  /** The headers of IP version 4 and UDP, in bytes. */
+  static final int DATAGRAM_HEADERS = 28;
+
+  private MessageSize() {}
+
+  static int of(MembershipMessage message) {
+    return count(
+        packer -> {
+          packer.packInt(0);
+          pack(packer, message.sender());
+          packer.packArrayHeader(message.records().size());
+          for (MemberRecord record : message.records()) {
+            pack(packer, record);
+          }
+          switch (message) {
+            case MembershipMessage.Ping ping -> packer.packLong(ping.sequence());
+            case MembershipMessage.Acknowledgement answer -> packer.packLong(answer.sequence());
+            case MembershipMessage.IndirectPing ping ->
+                packer.packLong(ping.sequence()).packString(ping.target().value());
+            case MembershipMessage.Compare compare ->
+                packer
+                    .packInt(compare.bucket())
+                    .packInt(compare.buckets())
+                    .packLong(compare.digest());
+            case MembershipMessage.Bucket bucket -> packer.packBoolean(bucket.isAnswer());
+          }
+        });
+  }
+
+  static int of(SpreadMessage message) {
+    return count(
+        packer -> {
+          packer.packInt(0).packString(message.sender().value());
+          switch (message) {
+            case SpreadMessage.Announce announce -> {
+              packer.packMapHeader(announce.versions().size());
+              for (Map.Entry<ListKind, ListVersion> entry : announce.versions().entrySet()) {
+                packer.packInt(entry.getKey().ordinal()).packLong(entry.getValue().number());
+              }
+              pack(packer, announce.updates());
+            }
+            case SpreadMessage.Fetch fetch ->
+                packer.packInt(fetch.list().ordinal()).packLong(fetch.have().number());
+            case SpreadMessage.Updates updates -> pack(packer, updates.updates());
+          }
+        });
+  }
+
+  /** Counts a message of some short names and numbers, such as a heartbeat or a renewal. */
+  static int of(List<String> names, int numbers) {
+    return count(
+        packer -> {
+          packer.packInt(0);
+          for (String name : names) {
+            packer.packString(name);
+          }
+          for (int number = 0; number < numbers; number++) {
+            packer.packLong(Integer.MAX_VALUE + (long) number);
+          }
+        });
+  }
+
+  private static void pack(MessageBufferPacker packer, MemberRecord record) throws IOException {
+    packer
+        .packString(record.vm().value())
+        .packString(record.zone().value())
+        .packString(record.address())
+        .packLong(record.incarnation())
+        .packInt(record.status().ordinal())
+        .packString(record.source().value());
+  }
+
+  private static void pack(MessageBufferPacker packer, List<ListUpdate> updates)
+      throws IOException {
+    packer.packArrayHeader(updates.size());
+    for (ListUpdate update : updates) {
+      switch (update) {
+        case ListUpdate.Whole whole -> pack(packer, whole.list());
+        case ListDelta delta -> {
+          pack(packer, delta.header());
+          packer
+              .packInt(delta.keptAtStart())
+              .packInt(delta.keptAtEnd())
+              .packString(delta.inserted())
+              .packInt(delta.textHash());
+        }
+      }
+    }
+  }
+
+  private static void pack(MessageBufferPacker packer, PublishedList list) throws IOException {
+    packer
+        .packInt(list.kind().ordinal())
+        .packLong(list.version().number())
+        .packString(list.writer())
+        .packString(list.editor())
+        .packLong(list.editedAt().toEpochMilli())
+        .packString(list.note())
+        .packString(list.text());
+  }
+
+  private static int count(Content content) {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      content.packTo(packer);
+      return (int) packer.getTotalWrittenBytes() + DATAGRAM_HEADERS;
+    } catch (IOException impossible) {
+      throw new UncheckedIOException(impossible);
+    }
+  }
+
+  private interface Content {
+    void packTo(MessageBufferPacker packer) throws IOException;
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/org/mimosacleat/lab/measure/fleet/SpreadFleet.java
@@ -0,0 +1,140 @@
+package org.mimosacleat.lab.measure.fleet;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.mimosacleat.core.id.VmId;
+import org.mimosacleat.core.lists.ListKind;
+import org.mimosacleat.core.lists.ListVersion;
+import org.mimosacleat.core.lists.PublishedList;
+import org.mimosacleat.core.spread.SpreadAction;
+import org.mimosacleat.core.spread.SpreadInput;
+import org.mimosacleat.core.spread.SpreadMachine;
+import org.mimosacleat.core.spread.SpreadTimes;
+
+/** Spread machines of a fleet joined by a network with a latency and losses. */
+final class SpreadFleet {
+  private static final Duration TICK = Duration.ofMillis(100);
+  private static final Duration MOST = Duration.ofSeconds(60);
+  private static final String LINE = "customer-%d = plan-silver ; entered for the measurement%n";
+
+  private final EventQueue events = new EventQueue();
+  private final List<SpreadMachine> machines = new ArrayList<>();
+  private final Traffic traffic = new Traffic();
+  private final Duration latency;
+  private final double loss;
+  private final Random random;
+  private final String text;
+  private long version = 1;
+
+  SpreadFleet(int members, int entries, Duration latency, double loss, long seed) {
+    this.latency = latency;
+    this.loss = loss;
+    this.random = new Random(seed);
+    this.text = lines(entries);
+    for (int index = 0; index < members; index++) {
+      VmId self = FleetNames.vm(index);
+      SpreadMachine machine =
+          new SpreadMachine(
+              self, events.clock(), new Random(random.nextLong()), SpreadTimes.STANDARD);
+      List<VmId> peers = new ArrayList<>(FleetNames.vms(members));
+      peers.remove(index);
+      machine.step(new SpreadInput.Peers(peers));
+      machine.step(new SpreadInput.FromStore(list()));
+      machine.step(new SpreadInput.StoreVersions(Map.of(ListKind.PLANS, list().version())));
+      machines.add(machine);
+      events.after(Duration.ofMillis(random.nextInt(100)), () -> tick(self, machine));
+    }
+    run(Duration.ofSeconds(5));
+  }
+
+  Traffic traffic() {
+    return traffic;
+  }
+
+  int listLength() {
+    return text.length();
+  }
+
+  void run(Duration duration) {
+    events.runUntil(events.clock().instant().plus(duration));
+  }
+
+  /** Lets the store accept a change, and returns how long it took to every member. */
+  Duration acceptChange() {
+    run(Duration.ofMillis(1_000 + random.nextInt(1_000)));
+    version++;
+    Instant accepted = events.clock().instant();
+    Duration passed = Duration.ZERO;
+    while (!isEverywhere() && passed.compareTo(MOST) < 0) {
+      run(Duration.ofMillis(10));
+      passed = passed.plusMillis(10);
+    }
+    return Duration.between(accepted, accepted.plus(passed));
+  }
+
+  private boolean isEverywhere() {
+    ListVersion newest = new ListVersion(version);
+    return machines.stream()
+        .allMatch(machine -> newest.equals(machine.versions().get(ListKind.PLANS)));
+  }
+
+  private void tick(VmId self, SpreadMachine machine) {
+    give(machine, new SpreadInput.Tick());
+    events.after(TICK, () -> tick(self, machine));
+  }
+
+  private void give(SpreadMachine machine, SpreadInput input) {
+    long start = ProcessorTime.now();
+    List<SpreadAction> actions = machine.step(input);
+    traffic.addNanoseconds(ProcessorTime.now() - start);
+    actions.forEach(action -> carryOut(machine, action));
+  }
+
+  private void carryOut(SpreadMachine machine, SpreadAction action) {
+    switch (action) {
+      case SpreadAction.Send send -> {
+        traffic.add(MessageSize.of(send.message()));
+        int to = Integer.parseInt(send.to().value().substring("entry-".length()));
+        if (random.nextDouble() >= loss) {
+          SpreadInput received = new SpreadInput.Received(send.message());
+          events.after(latency, () -> give(machines.get(to), received));
+        }
+      }
+      case SpreadAction.AskStore() -> {
+        Map<ListKind, ListVersion> stored = Map.of(ListKind.PLANS, new ListVersion(version));
+        events.after(
+            Duration.ofMillis(10), () -> give(machine, new SpreadInput.StoreVersions(stored)));
+      }
+      case SpreadAction.FetchFromStore fetch ->
+          events.after(
+              Duration.ofMillis(10), () -> give(machine, new SpreadInput.FromStore(list())));
+      case SpreadAction.Apply apply -> {}
+      case SpreadAction.StoreIsBehind behind -> {}
+    }
+  }
+
+  private PublishedList list() {
+    String changed = "customer-new = plan-gold ; change " + version + "\n";
+    int middle = text.indexOf('\n', text.length() / 2) + 1;
+    return new PublishedList(
+        ListKind.PLANS,
+        new ListVersion(version),
+        "writer-0123456789abcdef-" + version,
+        "operator",
+        Instant.EPOCH,
+        "measured change",
+        text.substring(0, middle) + changed + text.substring(middle));
+  }
+
+  private static String lines(int entries) {
+    StringBuilder lines = new StringBuilder();
+    for (int entry = 0; entry < entries; entry++) {
+      lines.append(String.format(LINE, entry));
+    }
+    return lines.toString();
+  }
+}
