Settle writes that the transport sent twice, and prove the check across lists

Cause: the detection of a doubled request and the check of the other list's head had no test; 'show' put a line into a redirected list. Change: the stand-in returns the present row with a refusal, as DynamoDB does; tests for both; 'show' names the version on the error output. Conclusion: a redirected list is exactly the text that was put.

--- a/control/src/main/java/org/mimosacleat/control/ListCommand.java
+++ b/control/src/main/java/org/mimosacleat/control/ListCommand.java
@@ -44,8 +44,12 @@
       if (output.isJson()) {
         out().println(ListJson.list(list));
       } else {
-        out().println("# " + kind + " version " + list.version() + " by " + list.editor());
+        // On the error output, so that a redirected list is exactly the text that was put.
+        spec.commandLine()
+            .getErr()
+            .println(kind + " version " + list.version() + " by " + list.editor());
         out().print(list.text());
+        out().flush();
       }
       return ExitCode.DONE.code();
     }
--- a/control/src/main/java/org/mimosacleat/control/PrintDefaultsCommand.java
+++ b/control/src/main/java/org/mimosacleat/control/PrintDefaultsCommand.java
@@ -17,6 +17,7 @@
   @Override
   public Integer call() {
     spec.commandLine().getOut().print(SettingsPrinter.print(ControlSettings.SCHEMA));
+    spec.commandLine().getOut().flush();
     return ExitCode.DONE.code();
   }
 }
--- a/control/src/main/java/org/mimosacleat/control/PublishReport.java
+++ b/control/src/main/java/org/mimosacleat/control/PublishReport.java
@@ -66,6 +66,7 @@
             + winner.version()
             + " and try again.");
     out.print(edit.text());
+    out.flush();
     return ExitCode.LOST_RACE;
   }
 
--- a/control/src/test/java/org/mimosacleat/control/ControlCommandTest.java
+++ b/control/src/test/java/org/mimosacleat/control/ControlCommandTest.java
@@ -74,7 +74,9 @@
             "audit week"),
         err.toString());
     assertEquals(0, run("plans", "show"));
-    assertTrue(out.toString().contains("[customer map]\nplan = office"), out.toString());
+    String examples = Files.readString(Path.of("..", "examples", "cartago", "plans.ini"));
+    assertEquals(examples.replace("plan = public", "plan = office"), out.toString());
+    assertTrue(err.toString().contains("plans version 2 by ana"), err.toString());
     assertEquals(0, run("plans", "diff", "1", "2", "--output", "json"));
     assertEquals(
         "[{\"section\":\"customer map\",\"key\":\"plan\","
--- a/standin/src/main/java/org/mimosacleat/standin/platform/DynamoHandler.java
+++ b/standin/src/main/java/org/mimosacleat/standin/platform/DynamoHandler.java
@@ -86,8 +86,7 @@
   private Optional<HttpAnswer> write(RowWrite write) {
     return switch (table.write(write, PATIENCE)) {
       case WriteResult.Applied _ -> Optional.of(emptyObject());
-      case WriteResult.ConditionFailed _ ->
-          Optional.of(error("ConditionalCheckFailedException", "The conditional request failed"));
+      case WriteResult.ConditionFailed _ -> Optional.of(refused(write));
       case WriteResult.NotSent _, WriteResult.Unknown _ -> Optional.empty();
     };
   }
@@ -106,18 +105,32 @@
     };
   }
 
-  /** Names every write as a cause, since the fake does not tell which condition failed. */
-  private static HttpAnswer cancelled(List<RowWrite> writes) {
+  private HttpAnswer refused(RowWrite write) {
+    JsonWriter json =
+        errorStart("ConditionalCheckFailedException", "The conditional request failed");
+    DynamoItems.writeItem(json, present(write));
+    return json(BAD_REQUEST, json.writeEndObject());
+  }
+
+  private HttpAnswer cancelled(List<RowWrite> writes) {
     JsonWriter json = errorStart("TransactionCanceledException", "Transaction cancelled");
     json.writeFieldName("CancellationReasons").writeStartArray();
-    for (int index = 0; index < writes.size(); index++) {
+    for (RowWrite write : writes) {
+      Optional<Row> row = present(write);
+      boolean holds = write.condition().holdsFor(row);
       json.writeStartObject();
-      json.writeFieldName("Code").writeValue("ConditionalCheckFailed");
+      json.writeFieldName("Code").writeValue(holds ? "None" : "ConditionalCheckFailed");
+      DynamoItems.writeItem(json, row);
       json.writeEndObject();
     }
     return json(BAD_REQUEST, json.writeEndArray().writeEndObject());
   }
 
+  /** Reads the row as it is now, which is close enough to the moment of the refusal. */
+  private Optional<Row> present(RowWrite write) {
+    return table.get(write.key(), PATIENCE).getOrElse(Optional.empty());
+  }
+
   private static HttpAnswer emptyObject() {
     return json(HttpAnswer.OK, JsonWriter.create().writeStartObject().writeEndObject());
   }
--- a/standin/src/test/java/org/mimosacleat/standin/platform/AwsPlatformTest.java
+++ b/standin/src/test/java/org/mimosacleat/standin/platform/AwsPlatformTest.java
@@ -92,6 +92,20 @@
     assertEquals(1, platform.table().get(KEY, TIMEOUT).get().orElseThrow().version());
   }
 
+  @Test
+  void writeThatTheTransportSendsTwiceCountsAsApplied() {
+    RowWrite.Put first = put(new RowCondition.Absent(), "mine", 1);
+    RowWrite.Put second = put(first.row().unchanged(), "mine-2", 2);
+    RowWrite.Check other =
+        new RowWrite.Check(new RowKey("lease", "lending-2"), new RowCondition.Absent());
+
+    assertTrue(write(first).isApplied());
+    assertTrue(write(first).isApplied());
+    assertTrue(platform.table().transact(List.of(other, second), TIMEOUT).isApplied());
+    assertTrue(platform.table().transact(List.of(other, second), TIMEOUT).isApplied());
+    assertEquals(2, platform.table().get(KEY, TIMEOUT).get().orElseThrow().version());
+  }
+
   @Test
   void slowStoreEndsTheCallAndTheOutcomeIsUnknown() {
     standin.tableFaults().setDelay(Duration.ofSeconds(3));
--- a/standin/src/test/java/org/mimosacleat/standin/platform/ListPublisherTest.java
+++ b/standin/src/test/java/org/mimosacleat/standin/platform/ListPublisherTest.java
@@ -84,6 +84,23 @@
         PublishResult.Invalid.class, publish(ListKind.ALLOWANCES, 1, "ana", "# empty\n"));
   }
 
+  @Test
+  void editsThatFitAloneButNotTogetherAreNotBothAccepted() {
+    String silver = GOLD + GOLD.replace("gold", "silver");
+    publish(ListKind.ALLOWANCES, 1, "ana", silver);
+    InterceptingObjectStore intercepting =
+        new InterceptingObjectStore(objects, () -> publish(ListKind.ALLOWANCES, 2, "ben", GOLD));
+    ListPublisher slow = new ListPublisher(table, intercepting, clock, new Random(SEED + 1));
+    String text = customer("bookings", "silver");
+
+    PublishResult result =
+        slow.publish(new ListEdit(ListKind.PLANS, ListVersion.NONE, "ana", "", text), TIMEOUT);
+
+    assertInstanceOf(PublishResult.Invalid.class, result);
+    assertEquals(new ListVersion(3), fetcher.versions(TIMEOUT).get().allowances());
+    assertEquals(ListVersion.NONE, fetcher.versions(TIMEOUT).get().plans());
+  }
+
   @Test
   void editDuringAnOutageIsNotAccepted() {
     tableFaults.setDown(true);
