End a workload soon after its last request

A trial without a running primary went on for more than a minute past its end: each charge of unknown outcome was repeated up to ten times, and each repeat waited 20 s for its answer.

--- a/lab/src/main/java/org/mimosacleat/lab/workload/SessionWorker.java
+++ b/lab/src/main/java/org/mimosacleat/lab/workload/SessionWorker.java
@@ -18,6 +18,7 @@
   static final List<String> ROW_SUFFIXES = List.of("/1", "/2");
 
   private static final int MOST_ATTEMPTS = 10;
+  private static final Duration REPEATS_AFTER_END = Duration.ofSeconds(5);
   private static final Duration PAUSE_BEFORE_REPEAT = Duration.ofMillis(300);
   private static final Optional<Duration> OWN_DATA = Optional.empty();
 
@@ -95,6 +96,9 @@
         break;
       }
       outcome = RequestOutcome.UNKNOWN;
+      if (clock.instant().isAfter(end.plus(REPEATS_AFTER_END))) {
+        break;
+      }
       Thread.sleep(PAUSE_BEFORE_REPEAT);
     }
     oracle.record(new EntryKey(database, charge.table(), id), outcome);
