Sharpen the test of a replica ahead of its upstream

The test passed with the check in Follower removed, because the upstream caught up before the result was read. The upstream now stops receiving, and the replica has a record that it has received and not replayed yet; with the check removed the test fails at its time limit of 30 s. Loops that wait now end at that limit too; before, they ignored the interrupt and hung.

--- a/lab/src/test/java/org/mimosacleat/lab/bench/LoopbackBenchTest.java
+++ b/lab/src/test/java/org/mimosacleat/lab/bench/LoopbackBenchTest.java
@@ -1,6 +1,7 @@
 package org.mimosacleat.lab.bench;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -67,7 +68,7 @@
     assertEquals(
         List.of(0, 10, 20), report.readings().stream().map(MemoryReading::connections).toList());
     while (endpoint.statistics().openConnections() > 0) {
-      Thread.onSpinWait();
+      assertFalse(Thread.interrupted(), "connections are still open at the time limit");
     }
   }
 
--- a/standin/src/test/java/org/mimosacleat/standin/endpoint/Driver.java
+++ b/standin/src/test/java/org/mimosacleat/standin/endpoint/Driver.java
@@ -42,10 +42,19 @@
     }
   }
 
-  /** Repeats the query until the first row is {@code expected}; the surefire limit ends a wait. */
+  /** Repeats the query until the first row is {@code expected} or the test's time limit is over. */
   static void await(Connection connection, String sql, List<String> expected) throws SQLException {
-    while (!row(connection, sql).equals(expected)) {
-      Thread.onSpinWait();
+    List<String> present = row(connection, sql);
+    while (!present.equals(expected)) {
+      checkTimeLimit(expected, present);
+      present = row(connection, sql);
+    }
+  }
+
+  /** Fails once the test's time limit has interrupted the waiting thread. */
+  static void checkTimeLimit(List<String> expected, List<String> present) {
+    if (Thread.interrupted()) {
+      throw new AssertionError("waited for " + expected + ", but it is still " + present);
     }
   }
 }
--- a/standin/src/test/java/org/mimosacleat/standin/endpoint/EndpointStandinTest.java
+++ b/standin/src/test/java/org/mimosacleat/standin/endpoint/EndpointStandinTest.java
@@ -140,6 +140,7 @@
       CompletableFuture<String> state =
           CompletableFuture.supplyAsync(() -> stateOf(statement, "SELECT pg_sleep(20)"));
       while (!state.isDone()) {
+        Driver.checkTimeLimit(List.of("a cancelled statement"), List.of("running"));
         statement.cancel();
       }
       assertEquals("57014", state.join());
--- a/standin/src/test/java/org/mimosacleat/standin/endpoint/GroupStandinTest.java
+++ b/standin/src/test/java/org/mimosacleat/standin/endpoint/GroupStandinTest.java
@@ -24,6 +24,7 @@
   private static final long SEED = 12;
   private static final Duration RECEIVE_LAG = Duration.ofMillis(40);
   private static final Duration REPLAY_LAG = Duration.ofMillis(60);
+  private static final String REPLAYED = "SELECT pg_last_wal_replay_lsn()";
   private static final String COUNT = "SELECT count(*) FROM reading";
 
   private final PausedClock clock = new PausedClock();
@@ -125,15 +126,19 @@
 
   @Test
   void replicaAheadOfItsUpstreamInOneTermKeepsItsLog() throws SQLException {
-    group.endpoints().get(2).cutFromGroup();
+    Driver.execute(third, EndpointStatements.STOP_RECEIVING);
+    Driver.row(third, EndpointStatements.RELOAD);
+    final String before = Driver.row(second, EndpointStatements.STATUS).get(2);
     Driver.execute(first, "INSERT INTO reading VALUES ('acknowledged')");
-    letReplicasCatchUp(second);
+    final String written = Driver.row(first, EndpointStatements.CURRENT_POSITION).getFirst();
+    clock.advance(RECEIVE_LAG);
+    Driver.await(second, EndpointStatements.STATUS, status("t", written, before, "1", null));
+
     int port = group.endpoints().get(2).address().getPort();
     Driver.execute(second, EndpointStatements.receiveFrom("127.0.0.1", port));
     Driver.row(second, EndpointStatements.RELOAD);
-    group.endpoints().get(2).heal();
-    letReplicasCatchUp(third);
-    assertEquals(List.of("acknowledged"), Driver.row(second, "SELECT id FROM reading"));
+    clock.advance(REPLAY_LAG);
+    Driver.await(second, COUNT, List.of("1"));
   }
 
   private void letReplicasCatchUp(Connection... replicas) throws SQLException {
@@ -144,8 +149,11 @@
       throws SQLException {
     List<String> position = Driver.row(primary, EndpointStatements.CURRENT_POSITION);
     for (Connection replica : replicas) {
-      while (!Driver.row(replica, "SELECT pg_last_wal_replay_lsn()").equals(position)) {
+      List<String> replayed = Driver.row(replica, REPLAYED);
+      while (!replayed.equals(position)) {
+        Driver.checkTimeLimit(position, replayed);
         clock.advance(Duration.ofMillis(1));
+        replayed = Driver.row(replica, REPLAYED);
       }
     }
   }
