--- a/lab/src/test/java/org/mimosacleat/lab/fuzz/Commands.java
+++ b/lab/src/test/java/org/mimosacleat/lab/fuzz/Commands.java
@@ -2,7 +2,6 @@
 
 import java.util.function.BiConsumer;
 import net.jqwik.api.Arbitraries;
-import net.jqwik.api.Arbitrary;
 import net.jqwik.api.state.Action;
 import net.jqwik.api.state.ActionChain;
 import net.jqwik.api.state.ActionChainArbitrary;
@@ -21,28 +20,30 @@
     return ActionChain.startWith(() -> new World(decisions))
         .withAction(8, request("write", World::write))
         .withAction(8, request("read", World::read))
-        .withAction(14, command("run", MOST_STEPS, (world, n) -> world.run(n + 1)))
-        .withAction(3, command("run long", MOST_STEPS, (world, n) -> world.run(20 + 4 * n)))
-        .withAction(6, command("write at the home", SESSIONS, Commands::writeAtHome))
-        .withAction(6, command("read at the home", SESSIONS, Commands::readAtHome))
-        .withAction(3, command("pause the home", 1, (world, n) -> Commands.pauseHome(world)))
-        .withAction(4, command("run one step", 1, (world, n) -> world.run(1)))
-        .withAction(3, command("pause the home behind a write", 3, Commands::pauseBehindWrite))
+        .withAction(14, Fuzz.command("run", MOST_STEPS, (world, n) -> world.run(n + 1)))
+        .withAction(3, Fuzz.command("run long", MOST_STEPS, (world, n) -> world.run(20 + 4 * n)))
+        .withAction(6, Fuzz.command("write at the home", SESSIONS, Commands::writeAtHome))
+        .withAction(6, Fuzz.command("read at the home", SESSIONS, Commands::readAtHome))
+        .withAction(3, Fuzz.command("pause the home", 1, (world, n) -> Commands.pauseHome(world)))
+        .withAction(4, Fuzz.command("run one step", 1, (world, n) -> world.run(1)))
+        .withAction(3, Fuzz.command("pause the home behind a write", 3, Commands::pauseBehindWrite))
         .withAction(2, primary("up", (one, on) -> one.up = on))
         .withAction(2, primary("frozen", (one, on) -> one.frozen = on))
         .withAction(2, primary("reachable", (one, on) -> one.reachable = on))
         .withAction(2, primary("in the group", (one, on) -> one.connectedToGroup = on))
-        .withAction(4, command("deliver", MOST_MESSAGES, World::deliverOne))
-        .withAction(3, command("lose", MOST_MESSAGES, World::loseOne))
-        .withAction(2, command("pause", World.PROXIES, (world, n) -> world.pauseProxy(n, true)))
-        .withAction(2, command("resume", World.PROXIES, (world, n) -> world.pauseProxy(n, false)))
-        .withAction(1, command("replace", World.PROXIES, World::replaceProxy))
-        .withAction(2, command("suspect", World.PROXIES, World::suspectHome))
-        .withAction(1, command("hand over", 1, (world, n) -> world.handOver()))
-        .withAction(1, command("leaving", World.ENDPOINTS, World::endpointLeaves))
+        .withAction(4, Fuzz.command("deliver", MOST_MESSAGES, World::deliverOne))
+        .withAction(3, Fuzz.command("lose", MOST_MESSAGES, World::loseOne))
+        .withAction(
+            2, Fuzz.command("pause", World.PROXIES, (world, n) -> world.pauseProxy(n, true)))
+        .withAction(
+            2, Fuzz.command("resume", World.PROXIES, (world, n) -> world.pauseProxy(n, false)))
+        .withAction(1, Fuzz.command("replace", World.PROXIES, World::replaceProxy))
+        .withAction(2, Fuzz.command("suspect", World.PROXIES, World::suspectHome))
+        .withAction(1, Fuzz.command("hand over", 1, (world, n) -> world.handOver()))
+        .withAction(1, Fuzz.command("leaving", World.ENDPOINTS, World::endpointLeaves))
         .withAction(
             2,
-            command(
+            Fuzz.command(
                 "table",
                 FakeTable.Mode.values().length,
                 (world, n) -> world.changeTable(FakeTable.Mode.values()[n])))
@@ -52,23 +53,16 @@
         .withAction(3, endpoint("in the group", (one, on) -> one.connectedToGroup = on))
         .withAction(3, endpoint("replays", (one, on) -> one.replays = on))
         .withAction(2, endpoint("loses answers", (one, on) -> one.losesAnswers = on))
-        .withAction(2, command("heal", 1, (world, n) -> world.heal()))
+        .withAction(2, Fuzz.command("heal", 1, (world, n) -> world.heal()))
         .withMaxTransformations(MOST_COMMANDS);
   }
 
-  private static Action.Independent<World> command(
-      String name, int count, BiConsumer<World, Integer> effect) {
-    return () ->
-        number(count)
-            .map(n -> Transformer.mutate(name + " " + n, world -> effect.accept(world, n)));
-  }
-
   private static Action.Independent<World> request(String name, Request request) {
     return () ->
-        number(World.PROXIES)
+        Fuzz.number(World.PROXIES)
             .flatMap(
                 proxy ->
-                    number(SESSIONS)
+                    Fuzz.number(SESSIONS)
                         .map(
                             session ->
                                 Transformer.mutate(
@@ -79,7 +73,7 @@
   private static Action.Independent<World> endpoint(
       String name, BiConsumer<FakeInstance, Boolean> change) {
     return () ->
-        number(World.ENDPOINTS)
+        Fuzz.number(World.ENDPOINTS)
             .flatMap(
                 index ->
                     Arbitraries.of(true, false)
@@ -119,10 +113,6 @@
     world.home().ifPresent(home -> world.pauseProxy(home, true));
   }
 
-  private static Arbitrary<Integer> number(int count) {
-    return Arbitraries.integers().between(0, count - 1);
-  }
-
   /** A request of a client. */
   private interface Request {
     void send(World world, int proxy, int session);
--- a/lab/src/test/java/org/mimosacleat/lab/fuzz/ProxyStack.java
+++ b/lab/src/test/java/org/mimosacleat/lab/fuzz/ProxyStack.java
@@ -43,6 +43,7 @@
 /** The decisions of one proxy for one group, wired in the order of the proxy's group agent. */
 final class ProxyStack {
   private static final Duration SILENCE = Duration.ofMillis(700);
+  private static final Duration PAUSE = Duration.ofMillis(250);
   private static final Duration CONFIRMATION_TIMEOUT = Duration.ofMillis(1000);
 
   private final int number;
@@ -59,7 +60,9 @@
   private final List<ClientRequest.Attempt> waiting = new ArrayList<>();
   private final List<ClientRequest.Attempt> open = new ArrayList<>();
   private Instant lastHeard;
+  private Instant lastTick;
   private Instant nextTakeOver = Instant.MIN;
+  private boolean held;
   private boolean serving;
   private boolean findingRow;
   private boolean up = true;
@@ -70,6 +73,7 @@
     this.world = world;
     this.vm = world.vm(number);
     this.lastHeard = world.now();
+    this.lastTick = world.now();
     AvailabilityZone zone = world.zone(number);
     this.lease =
         new LeaseMachine(vm, world.group(), world.clock(), LeaseTimes.STANDARD, world::nextWriteId);
@@ -135,13 +139,17 @@
     if (!up || paused) {
       return;
     }
+    noticePause();
     step(new LeaseInput.Tick());
     followRights();
     step(new PromotionInput.Tick());
     tracker.tick();
+    noticeLoss();
+    if (lease.holds()) {
+      world.heartbeat(this);
+    }
     if (serving) {
       world.leaving().forEach(this::leaving);
-      world.heartbeat(this);
       world.instances().forEach(this::poll);
     } else {
       seek();
@@ -217,6 +225,25 @@
             () -> {}));
   }
 
+  /** After a pause nothing is known of the home, so that the silence counts from now on. */
+  private void noticePause() {
+    if (Duration.between(lastTick, world.now()).compareTo(PAUSE) > 0) {
+      lastHeard = world.now();
+    }
+    lastTick = world.now();
+  }
+
+  /** Whoever took the home has to be known before this proxy may seek it again. */
+  private void noticeLoss() {
+    boolean lost = held && !lease.holds();
+    held = lease.holds();
+    if (lost) {
+      lastHeard = world.now();
+      nextTakeOver = world.now().plus(SILENCE);
+      carryOut(new LeaseAction.ReadRow());
+    }
+  }
+
   private void seek() {
     Instant now = world.now();
     boolean isSilent = Duration.between(lastHeard, now).compareTo(SILENCE) > 0;
--- a/lab/src/test/java/org/mimosacleat/lab/fuzz/World.java
+++ b/lab/src/test/java/org/mimosacleat/lab/fuzz/World.java
@@ -160,6 +160,11 @@
     change.accept(instances.get(index));
   }
 
+  /** Stops an endpoint. */
+  public void fail(int index) {
+    change(index, one -> one.up = false);
+  }
+
   /** Lists an endpoint as leaving. */
   public void endpointLeaves(int index) {
     leaving.add(endpoint(index));
