Take over anew from a late write of an earlier home

Cause: a write of the row by an earlier home may take effect after the new home has read it; the machine then stopped for good although it held the lease, and the group stayed without a home. Change: it takes over again from the row that it finds; a machine without the lease still stops at every step.

--- a/core/src/main/java/org/mimosacleat/core/promotion/FencingPromotionMachine.java
+++ b/core/src/main/java/org/mimosacleat/core/promotion/FencingPromotionMachine.java
@@ -279,7 +279,9 @@
 
   private void rowRead(GroupRow row) {
     if (!rows.read(row, now(), actions)) {
-      stop("the row was written by " + row.version().writer());
+      // With the lease held this is a late write of an earlier home.
+      explain("the row was written by " + row.version().writer() + "; taking over from it");
+      takeOver(row);
       return;
     }
     afterWrite();
