Check five rules of load that no test failed without

Taking out one rule at a time showed that the hold-down after a change of coordinator, the freshness of reports, the backlog limit of a customer, the turns on a single slot and the early mark of a long run could go unnoticed. Each now has a test that fails without it.

--- a/core/src/test/java/org/mimosacleat/core/admission/ShareDivisionPropertyTest.java
+++ b/core/src/test/java/org/mimosacleat/core/admission/ShareDivisionPropertyTest.java
@@ -77,6 +77,45 @@
     assertEquals(40, coordinator.report(report).get().units());
   }
 
+  @Example
+  void nothingIsRaisedWhileAnotherHolderIsSilent() {
+    PausedClock clock = new PausedClock();
+    Map<VmId, ShareHolder> holders = holders(clock);
+    ShareCoordinator coordinator = coordinator(FIRST, clock, holders.keySet());
+    for (int round = 0; round < 4; round++) {
+      clock.advance(HomeShares.REPORT_INTERVAL);
+      holders.forEach(
+          (vm, holder) -> coordinator.report(holder.report(FIRST, 0)).ifPresent(holder::accept));
+    }
+    ShareHolder eager = holders.get(new VmId("home-1"));
+    final long before = eager.held();
+    coordinator.setLimit(2 * LIMIT);
+    for (int round = 0; round < 2; round++) {
+      clock.advance(ShareCoordinator.REPORT_LIFETIME);
+      coordinator.report(eager.report(FIRST, LIMIT)).ifPresent(eager::accept);
+    }
+
+    assertEquals(before, eager.held());
+  }
+
+  @Example
+  void holderTakesNoRaiseUntilItsEarlierCoordinatorHasForgottenIt() {
+    PausedClock clock = new PausedClock();
+    ShareHolder holder = holders(clock).get(new VmId("home-1"));
+    holder.accept(raise(holder.report(FIRST, 1), 10));
+    holder.accept(raise(holder.report(SECOND, 1), 30));
+    assertEquals(10, holder.held());
+    clock.advance(ShareCoordinator.REPORT_LIFETIME);
+    holder.accept(raise(holder.report(SECOND, 1), 30));
+
+    assertEquals(30, holder.held());
+  }
+
+  private static ShareGrant raise(ShareReport report, long units) {
+    return new ShareGrant(
+        CUSTOMER, RESOURCE, report.holder(), report.coordinator(), 1, report.sequence(), units);
+  }
+
   private static String anyFault(Variant variant) {
     for (long seed = 1; seed <= 50; seed++) {
       String fault = firstFault(seed, variant);
--- a/core/src/test/java/org/mimosacleat/core/schedule/SlotSchedulerTest.java
+++ b/core/src/test/java/org/mimosacleat/core/schedule/SlotSchedulerTest.java
@@ -70,6 +70,8 @@
     submit(REPORT);
     submit(REPORT);
     assertEquals(1, startAll().size());
+    clock.advance(Duration.ofMillis(600));
+    assertTrue(startAll().isEmpty());
 
     Ticket brief = submit(BRIEF);
 
@@ -169,6 +171,47 @@
     assertEquals(1, startAll().size());
   }
 
+  @Test
+  void customerThatFillsItsQueueIsRefusedAndOthersAreNot() {
+    learn();
+    int accepted = 0;
+    while (scheduler.submit(work(BRIEF, FAR, ONE)).isRight()) {
+      accepted++;
+      assertTrue(accepted < 1000, "nothing is refused");
+    }
+    Work other =
+        new Work(new CustomerId("other"), 1, BRIEF, Set.of(ONE), clock.instant().plus(FAR), false);
+
+    assertTrue(scheduler.submit(other).isRight());
+  }
+
+  @Test
+  void longAndShortTakeTurnsOnSingleSlot() {
+    learn();
+    scheduler = new SlotScheduler(SlotSettings.STANDARD, estimator, clock);
+    scheduler.addEndpoint(ONE, 1);
+    final Ticket first = submit(REPORT);
+    submit(REPORT);
+    startAll();
+    clock.advance(Duration.ofMillis(600));
+    scheduler.finished(first);
+    Ticket brief = submit(BRIEF);
+
+    assertEquals(brief, startAll().getFirst().ticket());
+  }
+
+  @Test
+  void runThatPassesTheThresholdMarksItsFingerprintBeforeItEnds() {
+    learn();
+    Fingerprint unseen = new Fingerprint(77);
+    submit(unseen);
+    startAll();
+    clock.advance(Duration.ofMillis(60));
+    scheduler.tick();
+
+    assertTrue(estimator.estimate(unseen).longRunning());
+  }
+
   @Test
   void continuedTransactionGoesAheadOfOtherShortWork() {
     learn();
