--- a/proxy/src/main/java/org/mimosacleat/proxy/caller/CallerListener.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/caller/CallerListener.java
@@ -1,6 +1,5 @@
 package org.mimosacleat.proxy.caller;
 
-import io.vavr.control.Either;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -9,9 +8,9 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
-import org.mimosacleat.core.id.CustomerId;
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.proxy.dispatch.Dispatcher;
+import org.mimosacleat.proxy.settings.AuthenticationMode;
 import org.mimosacleat.proxy.settings.LimitSettings;
 import org.tinylog.Logger;
 
@@ -32,6 +31,8 @@
       InetSocketAddress address,
       Dispatcher dispatcher,
       LimitSettings limits,
+      AuthenticationMode authentication,
+      CustomerDirectory customers,
       Set<GroupId> groups,
       ExecutorService executor,
       SecureRandom random)
@@ -43,7 +44,7 @@
         new CallerContext(
             dispatcher,
             limits,
-            (user, reader, writer) -> Either.right(new CustomerId(user)),
+            authenticator(authentication, customers, random),
             new CancelRegistry(random),
             groups);
     this.executor = executor;
@@ -84,6 +85,14 @@
     connections.forEach(CallerConnection::close);
   }
 
+  private static CallerAuthenticator authenticator(
+      AuthenticationMode mode, CustomerDirectory customers, SecureRandom random) {
+    return switch (mode) {
+      case SCRAM -> new ScramAuthenticator(customers, random);
+      case TRUST -> new TrustAuthenticator(customers);
+    };
+  }
+
   private void acceptAll() {
     while (!server.isClosed()) {
       try {
--- /dev/null
+++ b/proxy/src/main/java/org/mimosacleat/proxy/caller/ScramAuthenticator.java
@@ -0,0 +1,69 @@
+package org.mimosacleat.proxy.caller;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.security.SecureRandom;
+import java.util.Optional;
+import org.mimosacleat.core.error.ErrorKind;
+import org.mimosacleat.core.error.Failure;
+import org.mimosacleat.core.id.CustomerId;
+import org.mimosacleat.core.lists.CustomerAllowance;
+import org.mimosacleat.core.settings.Secret;
+import org.mimosacleat.wire.postgres.Frame;
+import org.mimosacleat.wire.postgres.FrameReader;
+import org.mimosacleat.wire.postgres.FrameWriter;
+import org.mimosacleat.wire.postgres.authentication.ScramServer;
+import org.mimosacleat.wire.postgres.authentication.ScramVerifier;
+
+/**
+ * Authenticates clients by SCRAM-SHA-256 against the verifier in the list of plans. A user that is
+ * not listed meets the same exchange as one with a wrong password.
+ */
+final class ScramAuthenticator implements CallerAuthenticator {
+  private static final int SECRET_BYTES = 32;
+
+  private final CustomerDirectory customers;
+  private final SecureRandom random;
+  private final byte[] mockSecret = new byte[SECRET_BYTES];
+
+  ScramAuthenticator(CustomerDirectory customers, SecureRandom random) {
+    this.customers = customers;
+    this.random = random;
+    random.nextBytes(mockSecret);
+  }
+
+  @Override
+  public Either<Failure, CustomerId> authenticate(
+      String user, FrameReader reader, FrameWriter writer) throws IOException {
+    if (!customers.isReady()) {
+      return Either.left(
+          new Failure(
+              ErrorKind.UNAVAILABLE, "this proxy has not read the list of customers yet"));
+    }
+    Optional<ScramVerifier> verifier = verifierOf(user);
+    ScramServer server =
+        new ScramServer(
+            user, verifier.orElseGet(() -> ScramVerifier.mock(user, mockSecret)), random);
+    writer.write(server.offer());
+    Either<Failure, Frame> challenge = server.first(reader.read());
+    if (challenge.isLeft()) {
+      return Either.left(challenge.getLeft());
+    }
+    writer.write(challenge.get());
+    Either<Failure, Frame> outcome = server.last(reader.read());
+    if (outcome.isLeft()) {
+      return Either.left(outcome.getLeft());
+    }
+    writer.write(outcome.get());
+    return Either.right(new CustomerId(user));
+  }
+
+  private Optional<ScramVerifier> verifierOf(String user) {
+    return customers
+        .find(new CustomerId(user))
+        .map(CustomerAllowance::customer)
+        .flatMap(customer -> customer.scramVerifier())
+        .map(Secret::value)
+        .map(ScramVerifier::parse);
+  }
+}
--- a/proxy/src/main/java/org/mimosacleat/proxy/command/RunCommand.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/command/RunCommand.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import org.mimosacleat.platform.aws.AwsPlatform;
+import org.mimosacleat.proxy.node.PlatformServices;
 import org.mimosacleat.proxy.node.ProxyNode;
 import org.mimosacleat.proxy.settings.ProxySettings;
 import picocli.CommandLine.Command;
@@ -35,7 +36,7 @@
     }
     StopSignals signals = StopSignals.install();
     try (AwsPlatform platform = PlatformFactory.open(settings.get());
-        ProxyNode node = ProxyNode.start(settings.get(), platform.table())) {
+        ProxyNode node = ProxyNode.start(settings.get(), services(platform))) {
       signals.awaitFirst();
       boolean clean = node.drain(settings.get().limits().shutdownTimeout());
       return clean ? ExitCode.DONE : ExitCode.FAILED;
@@ -44,4 +45,8 @@
       return ExitCode.FAILED;
     }
   }
+
+  private static PlatformServices services(AwsPlatform platform) {
+    return new PlatformServices(platform.table(), platform.objects(), platform.vmList());
+  }
 }
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/Mailbox.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/concurrent/Mailbox.java
@@ -1,4 +1,4 @@
-package org.mimosacleat.proxy.home;
+package org.mimosacleat.proxy.concurrent;
 
 import java.time.Duration;
 import java.util.concurrent.ExecutorService;
@@ -11,23 +11,25 @@
  * Runs tasks one after the other on one thread, and a tick at an interval between them. State
  * machines that want a single thread live behind one.
  */
-final class Mailbox implements AutoCloseable {
+public final class Mailbox implements AutoCloseable {
   private final LinkedBlockingQueue<Runnable> tasks = new LinkedBlockingQueue<>();
   private final AtomicBoolean closed = new AtomicBoolean();
   private final Duration tickInterval;
   private final Runnable tick;
 
-  Mailbox(Duration tickInterval, Runnable tick) {
+  /** Takes the interval and the task of the tick. */
+  public Mailbox(Duration tickInterval, Runnable tick) {
     this.tickInterval = tickInterval;
     this.tick = tick;
   }
 
-  void start(ExecutorService executor) {
+  /** Starts to run tasks on a thread of {@code executor}. */
+  public void start(ExecutorService executor) {
     executor.submit(this::run);
   }
 
   /** Has a task run; it must not wait. */
-  void post(Runnable task) {
+  public void post(Runnable task) {
     tasks.add(task);
   }
 
@@ -53,7 +55,7 @@
         Thread.currentThread().interrupt();
         return;
       } catch (RuntimeException defect) {
-        Logger.error(defect, "a task of a home failed");
+        Logger.error(defect, "a task failed");
       }
     }
   }
--- a/proxy/src/main/java/org/mimosacleat/proxy/endpoint/EndpointLogin.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/endpoint/EndpointLogin.java
@@ -1,7 +1,9 @@
 package org.mimosacleat.proxy.endpoint;
 
+import io.vavr.control.Either;
 import java.io.IOException;
 import java.net.Socket;
+import org.mimosacleat.core.error.Failure;
 import org.mimosacleat.wire.postgres.BackendType;
 import org.mimosacleat.wire.postgres.BodyBuilder;
 import org.mimosacleat.wire.postgres.BodyReader;
@@ -10,11 +12,12 @@
 import org.mimosacleat.wire.postgres.FrameReader;
 import org.mimosacleat.wire.postgres.FrameWriter;
 import org.mimosacleat.wire.postgres.FrontendType;
+import org.mimosacleat.wire.postgres.authentication.AuthenticationFrames;
+import org.mimosacleat.wire.postgres.authentication.ScramClient;
 
 /** Logs in at an endpoint, up to its first ready-for-query. */
 final class EndpointLogin {
   private static final int MAXIMUM_FRAME_BYTES = 64 * 1024;
-  private static final int OK = 0;
   private static final int CLEARTEXT_PASSWORD = 3;
 
   private EndpointLogin() {}
@@ -27,7 +30,7 @@
     while (true) {
       Frame frame = reader.read();
       switch (frame.type()) {
-        case BackendType.AUTHENTICATION -> authenticate(frame, writer, address);
+        case BackendType.AUTHENTICATION -> authenticate(frame, reader, writer, address);
         case BackendType.BACKEND_KEY_DATA -> {
           BodyReader body = new BodyReader(frame);
           cancelKey = new CancelKey(body.readInt(), body.readInt());
@@ -45,20 +48,42 @@
     }
   }
 
-  private static void authenticate(Frame frame, FrameWriter writer, EndpointAddress address)
+  private static void authenticate(
+      Frame frame, FrameReader reader, FrameWriter writer, EndpointAddress address)
       throws IOException {
-    int method = new BodyReader(frame).readInt();
-    if (method == OK) {
-      return;
+    int method = AuthenticationFrames.code(frame);
+    switch (method) {
+      case AuthenticationFrames.OK -> {
+        // Nothing is asked for, or all of it was given.
+      }
+      case CLEARTEXT_PASSWORD ->
+          writer.write(
+              new BodyBuilder().string(address.password().value()).frame(FrontendType.PASSWORD));
+      case AuthenticationFrames.SASL -> runScram(frame, reader, writer, address);
+      default ->
+          throw new FrameException(
+              "endpoint "
+                  + address.endpoint()
+                  + " asks for authentication method "
+                  + method
+                  + "; supported are trust, password and SCRAM-SHA-256");
     }
-    if (method != CLEARTEXT_PASSWORD) {
-      throw new FrameException(
-          "endpoint "
-              + address.endpoint()
-              + " asks for authentication method "
-              + method
-              + "; supported are trust and password");
+  }
+
+  private static void runScram(
+      Frame offer, FrameReader reader, FrameWriter writer, EndpointAddress address)
+      throws IOException {
+    ScramClient client =
+        new ScramClient(address.user(), address.password().value().toCharArray());
+    writer.write(orThrow(client.first(offer)));
+    writer.write(orThrow(client.last(reader.read())));
+    orThrow(client.verify(reader.read()));
+  }
+
+  private static <T> T orThrow(Either<Failure, T> step) throws IOException {
+    if (step.isLeft()) {
+      throw new IOException(step.getLeft().detail());
     }
-    writer.write(new BodyBuilder().string(address.password().value()).frame(FrontendType.PASSWORD));
+    return step.get();
   }
 }
--- /dev/null
+++ b/proxy/src/main/java/org/mimosacleat/proxy/fleet/ListKeeper.java
@@ -0,0 +1,166 @@
+package org.mimosacleat.proxy.fleet;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.ExecutorService;
+import java.util.random.RandomGenerator;
+import org.mimosacleat.core.id.CustomerId;
+import org.mimosacleat.core.id.VmId;
+import org.mimosacleat.core.lists.Adoption;
+import org.mimosacleat.core.lists.CustomerAllowance;
+import org.mimosacleat.core.lists.ListKind;
+import org.mimosacleat.core.lists.ListRegistry;
+import org.mimosacleat.core.lists.ListVersion;
+import org.mimosacleat.core.lists.ListVersions;
+import org.mimosacleat.core.lists.ListsInForce;
+import org.mimosacleat.core.lists.PublishedList;
+import org.mimosacleat.core.spread.SpreadAction;
+import org.mimosacleat.core.spread.SpreadInput;
+import org.mimosacleat.core.spread.SpreadMachine;
+import org.mimosacleat.core.spread.SpreadMessage;
+import org.mimosacleat.core.spread.SpreadTimes;
+import org.mimosacleat.platform.lists.ListFetcher;
+import org.mimosacleat.proxy.caller.CustomerDirectory;
+import org.mimosacleat.proxy.concurrent.Mailbox;
+import org.mimosacleat.wire.fleet.SpreadMessageCodec;
+import org.tinylog.Logger;
+
+/** Keeps the operators' lists in force on this proxy, from the store and from peers. */
+public final class ListKeeper implements CustomerDirectory, AutoCloseable {
+  private static final Duration TICK = Duration.ofMillis(100);
+  private static final Duration STORE_TIMEOUT = Duration.ofSeconds(2);
+
+  private final ListRegistry registry = new ListRegistry();
+  private final SpreadMachine machine;
+  private final LiveFleet fleet;
+  private final FleetSender sender;
+  private final ListFetcher fetcher;
+  private final ExecutorService executor;
+  private final VmId self;
+  private final Mailbox mailbox = new Mailbox(TICK, this::tick);
+
+  /** Makes a keeper without any list. */
+  public ListKeeper(
+      VmId self,
+      LiveFleet fleet,
+      FleetSender sender,
+      ListFetcher fetcher,
+      InstantSource clock,
+      RandomGenerator random,
+      ExecutorService executor) {
+    this.self = self;
+    this.fleet = fleet;
+    this.sender = sender;
+    this.fetcher = fetcher;
+    this.executor = executor;
+    this.machine = new SpreadMachine(self, clock, random, SpreadTimes.STANDARD);
+  }
+
+  /** Starts to ask the store and the peers. */
+  public void start() {
+    mailbox.start(executor);
+  }
+
+  /** Returns the lists in force now. */
+  public ListsInForce inForce() {
+    return registry.inForce();
+  }
+
+  @Override
+  public boolean isReady() {
+    return machine.isReady() && !registry.inForce().customers().isEmpty();
+  }
+
+  @Override
+  public Optional<CustomerAllowance> find(CustomerId customer) {
+    return registry.inForce().allowance(customer);
+  }
+
+  /** Takes in a message; does not wait. */
+  public void received(SpreadMessage message) {
+    mailbox.post(() -> step(new SpreadInput.Received(message)));
+  }
+
+  @Override
+  public void close() {
+    mailbox.close();
+  }
+
+  private void tick() {
+    List<VmId> peers = fleet.all().stream().filter(vm -> !vm.equals(self)).toList();
+    step(new SpreadInput.Peers(peers));
+    step(new SpreadInput.Tick());
+  }
+
+  private void step(SpreadInput input) {
+    machine.step(input).forEach(this::carryOut);
+  }
+
+  private void carryOut(SpreadAction action) {
+    switch (action) {
+      case SpreadAction.Send send ->
+          sender.send(
+              send.to(), FleetChannel.LISTS, () -> SpreadMessageCodec.encode(send.message()));
+      case SpreadAction.AskStore() -> executor.submit(this::askStore);
+      case SpreadAction.FetchFromStore fetch -> executor.submit(() -> fetch(fetch.list()));
+      case SpreadAction.Apply apply -> apply(apply);
+      case SpreadAction.StoreIsBehind behind ->
+          Logger.error(
+              "the store has {} version {}, older than {} in force here",
+              behind.list(),
+              behind.stored(),
+              behind.held());
+    }
+  }
+
+  private void askStore() {
+    fetcher
+        .versions(STORE_TIMEOUT)
+        .peek(versions -> mailbox.post(() -> step(storeVersions(versions))));
+  }
+
+  private static SpreadInput storeVersions(ListVersions versions) {
+    Map<ListKind, ListVersion> byKind = new TreeMap<>();
+    for (ListKind kind : ListKind.values()) {
+      byKind.put(kind, versions.of(kind));
+    }
+    return new SpreadInput.StoreVersions(byKind);
+  }
+
+  private void fetch(ListKind kind) {
+    fetcher
+        .newest(kind, STORE_TIMEOUT)
+        .peek(found -> found.ifPresent(this::offerFromStore));
+  }
+
+  private void offerFromStore(PublishedList list) {
+    mailbox.post(() -> step(new SpreadInput.FromStore(list)));
+  }
+
+  private void apply(SpreadAction.Apply apply) {
+    switch (registry.offer(apply.list())) {
+      case Adoption.Adopted adopted ->
+          Logger.info("{} ({})", adopted.explanation(), apply.explanation());
+      case Adoption.Refused refused ->
+          Logger.error(
+              "{} version {} is not usable here: {}",
+              apply.list().kind(),
+              apply.list().version(),
+              refused.problems().getFirst().message());
+      case Adoption.Conflicting conflicting ->
+          Logger.error(
+              "{} version {} exists twice, written by {} and by {}",
+              apply.list().kind(),
+              apply.list().version(),
+              conflicting.inForce(),
+              conflicting.offered());
+      case Adoption.NotNewer notNewer -> {
+        // The registry had the version already.
+      }
+    }
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/EndpointWork.java
@@ -0,0 +1,212 @@
+package org.mimosacleat.proxy.home;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Map;
+import java.util.Optional;
+import org.mimosacleat.core.admission.Permit;
+import org.mimosacleat.core.error.ErrorKind;
+import org.mimosacleat.core.error.Failure;
+import org.mimosacleat.core.id.EndpointId;
+import org.mimosacleat.core.position.Position;
+import org.mimosacleat.core.position.Term;
+import org.mimosacleat.core.statement.StatementKind;
+import org.mimosacleat.proxy.endpoint.EndpointConnection;
+import org.mimosacleat.proxy.endpoint.EndpointPool;
+import org.mimosacleat.wire.peer.WorkAnswer;
+import org.mimosacleat.wire.peer.WorkRequest;
+import org.mimosacleat.wire.postgres.TransactionStatus;
+
+/**
+ * Runs batches on chosen endpoints: takes and returns connections, pins them to transactions, and
+ * holds back the answers of writes until they are confirmed.
+ */
+final class EndpointWork {
+  private static final String READ_ONLY_STATE = "25006";
+
+  private final InstantSource clock;
+  private final Map<EndpointId, EndpointPool> pools;
+  private final EndpointWatchers watchers;
+  private final OpenTransactions transactions;
+  private final SlottedRunner runner;
+  private final Admission admission;
+  private final WriteConfirmation confirmation;
+
+  EndpointWork(
+      InstantSource clock,
+      GroupParts parts,
+      SlottedRunner runner,
+      Admission admission,
+      WriteConfirmation confirmation) {
+    this.clock = clock;
+    this.pools = Map.copyOf(parts.pools());
+    this.watchers = parts.watchers();
+    this.transactions = parts.transactions();
+    this.runner = runner;
+    this.admission = admission;
+    this.confirmation = confirmation;
+  }
+
+  /** Runs a read on a replica; empty on the right if the replica refused it as a write. */
+  Either<Failure, Optional<WorkAnswer>> runOnReplica(Attempt attempt, EndpointId endpoint) {
+    return begin(attempt, endpoint, Optional.empty());
+  }
+
+  /**
+   * Runs a batch that opens a transaction, or is one by itself.
+   *
+   * @param primaryTerm the term of the primary that the endpoint is
+   */
+  Either<Failure, WorkAnswer> run(
+      Attempt attempt, EndpointId endpoint, Optional<Term> primaryTerm) {
+    return begin(attempt, endpoint, primaryTerm).map(Optional::orElseThrow);
+  }
+
+  /** Runs a batch of an open transaction. */
+  Either<Failure, WorkAnswer> continueTransaction(Attempt attempt) {
+    WorkRequest request = attempt.request();
+    Optional<OpenTransaction> claimed =
+        transactions.claim(request.transaction(), attempt.ticket().owner());
+    if (claimed.isEmpty()) {
+      return failure(
+          ErrorKind.TRANSACTION_LOST,
+          "transaction " + request.transaction() + " is not open any more");
+    }
+    OpenTransaction transaction = claimed.get();
+    Either<Failure, BatchResult> result =
+        runner
+            .run(
+                attempt,
+                transaction.connection().endpoint(),
+                transaction.onPrimary(),
+                () -> Either.right(transaction.connection()))
+            .result();
+    if (result.isLeft()) {
+      transactions.discard(transaction);
+      return Either.left(result.getLeft());
+    }
+    if (result.get().reply().status() == TransactionStatus.IDLE) {
+      transactions.finish(transaction);
+      return acknowledge(attempt, result.get(), transaction.primaryTerm());
+    }
+    if (!transactions.keep(transaction)) {
+      return failure(ErrorKind.TRANSACTION_LOST, "the transaction was ended while it ran");
+    }
+    return Either.right(answer(result.get(), transaction.number(), Position.NONE));
+  }
+
+  private Either<Failure, Optional<WorkAnswer>> begin(
+      Attempt attempt, EndpointId endpoint, Optional<Term> primaryTerm) {
+    Either<Failure, Permit> permit = admission.admitConnection(attempt.request().customer());
+    if (permit.isLeft()) {
+      return Either.left(permit.getLeft());
+    }
+    EndpointPool pool = pools.get(endpoint);
+    SlottedResult run =
+        runner.run(
+            attempt, endpoint, primaryTerm.isPresent(), () -> connect(pool, attempt.deadline()));
+    if (run.result().isLeft()) {
+      run.connection().ifPresent(pool::discard);
+      permit.get().close();
+      watchers.poke(endpoint);
+      return Either.left(run.result().getLeft());
+    }
+    return answered(
+        attempt,
+        new PooledRun(
+            pool, run.connection().orElseThrow(), permit.get(), run.result().get()),
+        primaryTerm);
+  }
+
+  private Either<Failure, Optional<WorkAnswer>> answered(
+      Attempt attempt, PooledRun run, Optional<Term> primaryTerm) {
+    if (run.result().reply().status() != TransactionStatus.IDLE) {
+      OpenTransaction opened =
+          transactions.open(
+              attempt.ticket().owner(),
+              run.pool(),
+              run.connection(),
+              run.permit(),
+              primaryTerm);
+      return Either.right(
+          Optional.of(answer(run.result(), opened.number(), Position.NONE)));
+    }
+    run.pool().release(run.connection());
+    run.permit().close();
+    if (primaryTerm.isEmpty() && isRefusedWrite(run.result())) {
+      return Either.right(Optional.empty());
+    }
+    return acknowledge(attempt, run.result(), primaryTerm).map(Optional::of);
+  }
+
+  private static boolean isRefusedWrite(BatchResult result) {
+    return result.reply().errorState().equals(READ_ONLY_STATE);
+  }
+
+  private Either<Failure, EndpointConnection> connect(EndpointPool pool, Instant deadline) {
+    EndpointId endpoint = pool.address().endpoint();
+    try {
+      return pool.acquire(Duration.between(clock.instant(), deadline))
+          .<Either<Failure, EndpointConnection>>map(Either::right)
+          .orElseGet(
+              () ->
+                  failure(
+                      ErrorKind.OVERLOADED,
+                      "no connection to endpoint "
+                          + endpoint
+                          + " was free before the deadline"));
+    } catch (IOException unreachable) {
+      return failure(
+          ErrorKind.UNAVAILABLE,
+          "endpoint " + endpoint + " could not be reached: " + unreachable.getMessage());
+    }
+  }
+
+  /** Answers a batch that has left no transaction open; what it wrote is confirmed first. */
+  private Either<Failure, WorkAnswer> acknowledge(
+      Attempt attempt, BatchResult result, Optional<Term> primaryTerm) {
+    boolean wroteNothing =
+        primaryTerm.isEmpty() || result.position().isEmpty() || isPlainError(attempt, result);
+    if (wroteNothing) {
+      return Either.right(answer(result, WorkRequest.NO_TRANSACTION, Position.NONE));
+    }
+    Position commit = new Position(primaryTerm.get(), result.position().get());
+    return confirmation
+        .confirm(attempt.request().session(), commit, attempt.deadline())
+        .map(confirmed -> answer(result, WorkRequest.NO_TRANSACTION, confirmed));
+  }
+
+  /** Tells whether a statement outside of a transaction failed, so that it wrote nothing. */
+  private static boolean isPlainError(Attempt attempt, BatchResult result) {
+    return result.reply().hasError()
+        && !attempt.request().isInTransaction()
+        && attempt.request().kind() == StatementKind.WRITE;
+  }
+
+  private static WorkAnswer answer(BatchResult result, long transaction, Position position) {
+    return new WorkAnswer(
+        result.reply().frames(),
+        result.reply().status(),
+        transaction,
+        position,
+        result.reply().hasError());
+  }
+
+  private static <T> Either<Failure, T> failure(ErrorKind kind, String detail) {
+    return Either.left(new Failure(kind, detail));
+  }
+
+  /**
+   * A batch that was answered on a pooled connection.
+   *
+   * @param pool where the connection belongs
+   * @param connection the connection
+   * @param permit the customer's right to it
+   * @param result the answer
+   */
+  private record PooledRun(
+      EndpointPool pool, EndpointConnection connection, Permit permit, BatchResult result) {}
+}
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/GroupAgent.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/GroupAgent.java
@@ -4,8 +4,9 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import org.mimosacleat.core.error.ErrorKind;
 import org.mimosacleat.core.error.Failure;
 import org.mimosacleat.core.id.EndpointId;
@@ -17,7 +18,11 @@
 import org.mimosacleat.core.membership.HomeWatchAction;
 import org.mimosacleat.core.membership.HomeWatchInput;
 import org.mimosacleat.core.membership.HomeWatchTimes;
+import org.mimosacleat.core.placement.HomeIntent;
+import org.mimosacleat.core.placement.HomePolicy;
+import org.mimosacleat.core.placement.PlacementTable;
 import org.mimosacleat.core.promotion.PromotionInput;
+import org.mimosacleat.proxy.concurrent.Mailbox;
 import org.mimosacleat.wire.fleet.HomeMessage;
 import org.mimosacleat.wire.peer.WorkAnswer;
 import org.mimosacleat.wire.peer.WorkRequest;
@@ -30,6 +35,8 @@
 final class GroupAgent implements WatchListener, AutoCloseable {
   private static final Duration TICK = Duration.ofMillis(25);
   private static final Duration ROW_REFRESH = Duration.ofSeconds(2);
+  private static final Duration SETTLE_TIME = Duration.ofSeconds(10);
+  private static final Duration TRANSACTION_GRACE = Duration.ofSeconds(10);
   private static final int ZONES_TO_LOSE_HOME = 2;
 
   private final GroupId group;
@@ -42,6 +49,11 @@
   private Optional<HomeWatch> watch = Optional.empty();
   private Optional<VmId> watched = Optional.empty();
   private Optional<VmId> lost = Optional.empty();
+  private Optional<PlacementTable> withoutLost = Optional.empty();
+  private final AtomicReference<Optional<HandOver>> handOver =
+      new AtomicReference<>(Optional.empty());
+  private final AtomicInteger inFlight = new AtomicInteger();
+  private final HomePolicy policy;
   private Instant nextHeartbeat = Instant.MIN;
   private Instant nextRefresh = Instant.MIN;
   private Instant nextTakeOver = Instant.MIN;
@@ -50,6 +62,7 @@
   GroupAgent(GroupId group, HomeContext context, GroupPartsFactory factory) {
     this.group = group;
     this.context = context;
+    this.policy = new HomePolicy(context.self(), SETTLE_TIME);
     this.mailbox = new Mailbox(TICK, this::tick);
     this.parts = factory.make(this, this::holdsLease);
     this.lease = new LeaseDriver(group, context, parts, mailbox);
@@ -64,15 +77,20 @@
 
   /** Runs one batch if this VM is the home, and waits for its answer. */
   Either<Failure, WorkAnswer> execute(WorkRequest request, WorkTicket ticket) {
-    if (!lease.rights().isHome(context.clock().instant())) {
-      return Either.left(
-          new Failure(ErrorKind.NOT_HOME, context.self() + " is not the home of group " + group));
+    inFlight.incrementAndGet();
+    try {
+      boolean accepted =
+          lease.rights().isHome(context.clock().instant())
+              && handOver.get().map(plan -> plan.accepts(request)).orElse(true);
+      return accepted ? home.execute(request, ticket) : notHome();
+    } finally {
+      inFlight.decrementAndGet();
     }
-    return home.execute(request, ticket);
   }
 
-  GroupHome home() {
-    return home;
+  private Either<Failure, WorkAnswer> notHome() {
+    return Either.left(
+        new Failure(ErrorKind.NOT_HOME, context.self() + " is not the home of group " + group));
   }
 
   GroupParts parts() {
@@ -87,11 +105,10 @@
   void handOver() {
     mailbox.post(
         () ->
-            context.messenger().candidates(group).stream()
+            candidates().stream()
                 .filter(vm -> !vm.equals(context.self()))
                 .findFirst()
-                .filter(vm -> lease.holds())
-                .ifPresent(lease::handOver));
+                .ifPresent(this::beginHandOver));
   }
 
   /** Takes in a message of another proxy; does not wait. */
@@ -129,13 +146,33 @@
     followRights();
     promotion.step(new PromotionInput.Tick());
     parts.state().tracker().tick();
+    parts.slots().tick();
+    parts.transactions().discardIdle(context.limits().idleTransactionTimeout());
     if (serving) {
       sendHeartbeats();
+      followPolicy(context.clock().instant());
+      continueHandOver();
     } else {
       seekOrWatch();
     }
   }
 
+  private void beginHandOver(VmId to) {
+    if (serving && handOver.get().isEmpty()) {
+      Instant giveUpAt = context.clock().instant().plus(TRANSACTION_GRACE);
+      handOver.set(Optional.of(new HandOver(to, giveUpAt)));
+      context.journal().add(group, "preparing to hand over to " + to);
+    }
+  }
+
+  private void continueHandOver() {
+    handOver
+        .get()
+        .filter(
+            plan -> plan.isReady(parts.transactions(), inFlight, context.clock().instant()))
+        .ifPresent(plan -> lease.handOver(plan.to()));
+  }
+
   private void followRights() {
     Instant now = context.clock().instant();
     LeaseRights rights = lease.rights();
@@ -144,12 +181,14 @@
       serving = true;
       watch = Optional.empty();
       lost = Optional.empty();
+      withoutLost = Optional.empty();
       parts.useToken(rights.token());
       parts.watchers().resume();
       promotion.leaseGained();
       context.journal().add(group, "serving under token " + rights.token());
     } else if (serving && !rights.isHome(now)) {
       serving = false;
+      handOver.set(Optional.empty());
       promotion.step(new PromotionInput.LeaseLost());
       parts.state().primaryLost();
       parts.releaseAll();
@@ -180,26 +219,46 @@
       lease.refresh();
       return;
     }
+    followPolicy(now);
+    lease
+        .knownHolder()
+        .filter(holder -> !holder.equals(context.self()))
+        .ifPresent(this::watchHolder);
+  }
+
+  private void followPolicy(Instant now) {
     Optional<VmId> holder = lease.knownHolder();
-    boolean needsHome =
-        holder.isEmpty() || holder.equals(lost) || holder.get().equals(context.self());
-    if (needsHome) {
-      seek(now, holder);
-      return;
+    boolean holderIsLive =
+        holder.filter(vm -> context.messenger().mayBeHome(vm) && !isLost(vm)).isPresent();
+    HomeIntent intent =
+        policy.decide(
+            group,
+            holder,
+            lease.holds(),
+            holderIsLive,
+            placementWithoutLost(),
+            context.messenger().unchangedFor());
+    switch (intent) {
+      case HomeIntent.Stay() -> {
+        // The home lives, or another VM is to take it.
+      }
+      case HomeIntent.Acquire(String reason) -> {
+        if (!now.isBefore(nextTakeOver)) {
+          nextTakeOver = now.plus(HomeWatchTimes.STANDARD.silence());
+          lease.acquire(reason);
+        }
+      }
+      case HomeIntent.HandOver(VmId to) -> beginHandOver(to);
     }
-    watchHolder(holder.get());
   }
 
-  private void seek(Instant now, Optional<VmId> holder) {
-    Optional<VmId> successor =
-        candidates().stream().filter(vm -> !Optional.of(vm).equals(lost)).findFirst();
-    boolean isNamed = holder.filter(context.self()::equals).isPresent();
-    boolean isFirst = successor.filter(context.self()::equals).isPresent();
-    if ((isNamed || isFirst) && !now.isBefore(nextTakeOver)) {
-      nextTakeOver = now.plus(HomeWatchTimes.STANDARD.silence());
-      lease.acquire(
-          holder.map(vm -> "its home " + vm + " does not serve").orElse("it has no home"));
-    }
+  /** A home that its watchers have lost may still count as a member for a while. */
+  private PlacementTable placementWithoutLost() {
+    return withoutLost.orElseGet(context.messenger()::placement);
+  }
+
+  private boolean isLost(VmId vm) {
+    return lost.equals(Optional.of(vm));
   }
 
   private void watchHolder(VmId holder) {
@@ -229,6 +288,7 @@
                           .tell(vm, new HomeMessage.SilenceQuestion(group, ask.home())));
       case HomeWatchAction.HomeLost homeLost -> {
         lost = Optional.of(homeLost.home());
+        withoutLost = Optional.of(context.messenger().placementWithout(homeLost.home()));
         context
             .journal()
             .add(group, "home " + homeLost.home() + " is not heard in " + homeLost.zones());
@@ -262,8 +322,9 @@
   }
 
   private void heard(VmId sender) {
-    if (lost.equals(Optional.of(sender))) {
+    if (isLost(sender)) {
       lost = Optional.empty();
+      withoutLost = Optional.empty();
     }
     if (watched.equals(Optional.of(sender))) {
       watch.ifPresent(known -> known.step(new HomeWatchInput.Heard()));
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/GroupParts.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/GroupParts.java
@@ -15,6 +15,7 @@
  * @param pools connections by endpoint
  * @param watchers the watchers of its endpoints
  * @param administrators give the endpoints commands
+ * @param slots the slots of its endpoints
  * @param transactions its open transactions
  */
 record GroupParts(
@@ -23,6 +24,7 @@
     Map<EndpointId, EndpointPool> pools,
     EndpointWatchers watchers,
     Map<EndpointId, EndpointAdministrator> administrators,
+    StatementSlots slots,
     OpenTransactions transactions)
     implements AutoCloseable {
 
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/GroupPartsFactory.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/GroupPartsFactory.java
@@ -1,6 +1,5 @@
 package org.mimosacleat.proxy.home;
 
-import java.time.Duration;
 import java.time.Instant;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -46,29 +45,36 @@
         pools(),
         watchers(listener),
         administrators(),
+        new StatementSlots(context.clock(), members(), group.slots()),
         new OpenTransactions(context.clock()));
   }
 
   GroupHome home(GroupParts parts) {
+    SlottedRunner runner =
+        new SlottedRunner(context.clock(), parts.slots(), context.admission());
+    WriteConfirmation confirmation =
+        new WriteConfirmation(
+            context.clock(),
+            parts.state(),
+            parts.watchers(),
+            context.monitor().confirmationTimeout());
     return new GroupHome(
         context.clock(),
         new FreshnessRouter(
             context.clock(),
             context.random(),
-            endpoint -> Duration.ZERO,
+            parts.slots(),
             context.zone(),
             RoutingSettings.DEFAULT),
         parts.state(),
-        parts.pools(),
         parts.watchers(),
-        parts.transactions(),
-        context.monitor().confirmationTimeout());
+        context.admission(),
+        new EndpointWork(
+            context.clock(), parts, runner, context.admission(), confirmation));
   }
 
   private GroupState state(LeaseStatus lease) {
-    Set<EndpointId> members =
-        group.endpoints().stream().map(EndpointSettings::id).collect(Collectors.toSet());
-    Reign unknown = new Reign(new Term(0), group.endpoints().getFirst().id(), members);
+    Reign unknown = new Reign(new Term(0), group.endpoints().getFirst().id(), members());
     return new GroupState(
         new GroupSnapshot(
             group.id(),
@@ -80,6 +86,10 @@
         lease);
   }
 
+  private Set<EndpointId> members() {
+    return group.endpoints().stream().map(EndpointSettings::id).collect(Collectors.toSet());
+  }
+
   private static EndpointView unseen(EndpointSettings endpoint) {
     return new EndpointView(
         endpoint.id(),
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/HomeContext.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/HomeContext.java
@@ -21,6 +21,7 @@
  * @param table the platform's table service
  * @param tableTimeout of one call to it
  * @param messenger the way to other proxies
+ * @param admission holds customers to their plans
  * @param limits limits on connections
  * @param monitor how endpoints are watched
  * @param journal where decisions are explained
@@ -34,6 +35,7 @@
     TableService table,
     Duration tableTimeout,
     HomeMessenger messenger,
+    Admission admission,
     LimitSettings limits,
     MonitorSettings monitor,
     DecisionJournal journal) {}
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/HomeMessenger.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/HomeMessenger.java
@@ -1,9 +1,11 @@
 package org.mimosacleat.proxy.home;
 
+import java.time.Duration;
 import java.util.List;
 import org.mimosacleat.core.id.AvailabilityZone;
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.core.id.VmId;
+import org.mimosacleat.core.placement.PlacementTable;
 import org.mimosacleat.wire.fleet.HomeMessage;
 
 /** Connects the homes of this proxy with the rest of the fleet. */
@@ -11,12 +13,26 @@
   /** Sends a message; it may be lost, and the call does not wait for the other proxy. */
   void tell(VmId to, HomeMessage message);
 
-  /** Returns the VMs that should be home of a group, best first, each in another zone. */
-  List<VmId> candidates(GroupId group);
+  /** Returns which VMs should be the home of each group. */
+  PlacementTable placement();
+
+  /** Returns the placement as if a VM were not a member. */
+  PlacementTable placementWithout(VmId vm);
+
+  /** Returns how long the members of the fleet have been the same. */
+  Duration unchangedFor();
+
+  /** Tells whether a VM may be the home of a group: it is neither dead nor leaving. */
+  boolean mayBeHome(VmId vm);
 
   /** Returns one live VM of each availability zone other than {@code own}. */
   List<VmId> witnesses(AvailabilityZone own);
 
-  /** Returns a live VM of an availability zone, or none. */
+  /** Returns the live VMs of an availability zone. */
   List<VmId> inZone(AvailabilityZone zone);
+
+  /** Returns the VMs that should be home of a group, best first, each in another zone. */
+  default List<VmId> candidates(GroupId group) {
+    return placement().candidates(group);
+  }
 }
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/Homes.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/Homes.java
@@ -72,12 +72,12 @@
 
   /** Rolls back a transaction whose caller has left. */
   public void abandon(long transaction, TransactionOwner owner) {
-    agents.values().forEach(agent -> agent.home().abandon(transaction, owner));
+    agents.values().forEach(agent -> agent.parts().transactions().abandon(transaction, owner));
   }
 
   /** Rolls back all transactions of an owner that was lost. */
   public void abandonAll(TransactionOwner owner) {
-    agents.values().forEach(agent -> agent.home().abandonAll(owner));
+    agents.values().forEach(agent -> agent.parts().transactions().abandonAll(owner));
   }
 
   @Override
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/OpenTransaction.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/OpenTransaction.java
@@ -4,7 +4,7 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
-import org.mimosacleat.core.id.CustomerId;
+import org.mimosacleat.core.admission.Permit;
 import org.mimosacleat.core.position.Term;
 import org.mimosacleat.proxy.endpoint.EndpointConnection;
 import org.mimosacleat.proxy.endpoint.EndpointPool;
@@ -13,9 +13,9 @@
 final class OpenTransaction {
   private final long number;
   private final TransactionOwner owner;
-  private final CustomerId customer;
   private final EndpointPool pool;
   private final EndpointConnection connection;
+  private final Permit permit;
   private final Optional<Term> primaryTerm;
   private final AtomicBoolean busy = new AtomicBoolean(true);
   private final AtomicReference<Instant> lastUsed;
@@ -23,16 +23,16 @@
   OpenTransaction(
       long number,
       TransactionOwner owner,
-      CustomerId customer,
       EndpointPool pool,
       EndpointConnection connection,
+      Permit permit,
       Optional<Term> primaryTerm,
       Instant openedAt) {
     this.number = number;
     this.owner = owner;
-    this.customer = customer;
     this.pool = pool;
     this.connection = connection;
+    this.permit = permit;
     this.primaryTerm = primaryTerm;
     this.lastUsed = new AtomicReference<>(openedAt);
   }
@@ -41,14 +41,14 @@
     return number;
   }
 
-  CustomerId customer() {
-    return customer;
-  }
-
   EndpointPool pool() {
     return pool;
   }
 
+  Permit permit() {
+    return permit;
+  }
+
   EndpointConnection connection() {
     return connection;
   }
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/OpenTransactions.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/OpenTransactions.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Predicate;
-import org.mimosacleat.core.id.CustomerId;
+import org.mimosacleat.core.admission.Permit;
 import org.mimosacleat.core.position.Term;
 import org.mimosacleat.proxy.endpoint.EndpointConnection;
 import org.mimosacleat.proxy.endpoint.EndpointPool;
@@ -27,17 +27,17 @@
   /** Registers a transaction whose first batch has been answered. */
   OpenTransaction open(
       TransactionOwner owner,
-      CustomerId customer,
       EndpointPool pool,
       EndpointConnection connection,
+      Permit permit,
       Optional<Term> primaryTerm) {
     OpenTransaction transaction =
         new OpenTransaction(
             lastNumber.incrementAndGet(),
             owner,
-            customer,
             pool,
             connection,
+            permit,
             primaryTerm,
             clock.instant());
     byNumber.put(transaction.number(), transaction);
@@ -62,6 +62,7 @@
   void finish(OpenTransaction transaction) {
     if (byNumber.remove(transaction.number(), transaction)) {
       transaction.pool().release(transaction.connection());
+      transaction.permit().close();
     }
   }
 
@@ -69,6 +70,7 @@
   void discard(OpenTransaction transaction) {
     if (byNumber.remove(transaction.number(), transaction)) {
       transaction.pool().discard(transaction.connection());
+      transaction.permit().close();
     }
   }
 
--- /dev/null
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/SlottedRunner.java
@@ -0,0 +1,79 @@
+package org.mimosacleat.proxy.home;
+
+import io.vavr.control.Either;
+import java.time.InstantSource;
+import java.util.Set;
+import org.mimosacleat.core.error.Failure;
+import org.mimosacleat.core.id.EndpointId;
+import org.mimosacleat.core.schedule.Fingerprint;
+import org.mimosacleat.core.schedule.Ticket;
+import org.mimosacleat.core.schedule.Work;
+import org.mimosacleat.proxy.endpoint.EndpointConnection;
+import org.mimosacleat.wire.peer.WorkRequest;
+
+/** Runs a batch on a connection once a slot of the endpoint is free for it. */
+final class SlottedRunner {
+  private final StatementSlots slots;
+  private final Admission admission;
+  private final BatchRunner runner;
+
+  SlottedRunner(InstantSource clock, StatementSlots slots, Admission admission) {
+    this.slots = slots;
+    this.admission = admission;
+    this.runner = new BatchRunner(clock);
+  }
+
+  /** Takes a connection, once there is a slot to use it in. */
+  @FunctionalInterface
+  interface ConnectionSource {
+    Either<Failure, EndpointConnection> connect();
+  }
+
+  /**
+   * Waits for a slot, then for a connection, and runs the batch. On the left with a connection
+   * taken, the connection must be discarded; {@link SlottedResult} says which it was.
+   */
+  SlottedResult run(
+      Attempt attempt,
+      EndpointId endpoint,
+      boolean onPrimary,
+      ConnectionSource source) {
+    Either<Failure, Ticket> slot = slots.acquire(work(attempt, endpoint));
+    if (slot.isLeft()) {
+      return SlottedResult.notSent(slot.getLeft());
+    }
+    boolean hasAnswer = false;
+    try {
+      Either<Failure, EndpointConnection> connection = source.connect();
+      if (connection.isLeft()) {
+        return SlottedResult.notSent(connection.getLeft());
+      }
+      Either<Failure, BatchResult> result = runOn(connection.get(), attempt, onPrimary);
+      hasAnswer = result.isRight();
+      return SlottedResult.sent(connection.get(), result);
+    } finally {
+      slots.release(slot.get(), endpoint, hasAnswer);
+    }
+  }
+
+  private Either<Failure, BatchResult> runOn(
+      EndpointConnection connection, Attempt attempt, boolean onPrimary) {
+    attempt.ticket().runsOn(connection);
+    try {
+      return runner.run(connection, attempt.request(), onPrimary, attempt.deadline());
+    } finally {
+      attempt.ticket().ended();
+    }
+  }
+
+  private Work work(Attempt attempt, EndpointId endpoint) {
+    WorkRequest request = attempt.request();
+    return new Work(
+        request.customer(),
+        admission.weightOf(request.customer()),
+        new Fingerprint(request.fingerprint()),
+        Set.of(endpoint),
+        attempt.deadline(),
+        request.isInTransaction());
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/mimosacleat/proxy/node/PlatformServices.java
@@ -0,0 +1,14 @@
+package org.mimosacleat.proxy.node;
+
+import org.mimosacleat.platform.object.ObjectStore;
+import org.mimosacleat.platform.table.TableService;
+import org.mimosacleat.platform.vmlist.VmList;
+
+/**
+ * The platform's services as a proxy uses them.
+ *
+ * @param table the table service
+ * @param objects the object store
+ * @param vmList the list of live and leaving VMs
+ */
+public record PlatformServices(TableService table, ObjectStore objects, VmList vmList) {}
--- a/proxy/src/main/java/org/mimosacleat/proxy/node/ProxyNode.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/node/ProxyNode.java
@@ -6,33 +6,40 @@
 import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.core.id.VmId;
 import org.mimosacleat.core.time.MonotonicClock;
-import org.mimosacleat.platform.table.TableService;
+import org.mimosacleat.platform.lists.ListFetcher;
 import org.mimosacleat.proxy.caller.CallerListener;
 import org.mimosacleat.proxy.dispatch.Dispatcher;
+import org.mimosacleat.proxy.fleet.FleetMessenger;
+import org.mimosacleat.proxy.fleet.FleetSender;
+import org.mimosacleat.proxy.fleet.ListKeeper;
+import org.mimosacleat.proxy.fleet.LiveFleet;
+import org.mimosacleat.proxy.fleet.MembershipDriver;
+import org.mimosacleat.proxy.fleet.PlatformVmSource;
+import org.mimosacleat.proxy.fleet.ShareKeeper;
 import org.mimosacleat.proxy.home.DecisionJournal;
 import org.mimosacleat.proxy.home.HomeContext;
 import org.mimosacleat.proxy.home.Homes;
 import org.mimosacleat.proxy.peer.PeerLinks;
 import org.mimosacleat.proxy.peer.PeerListener;
 import org.mimosacleat.proxy.settings.GroupSettings;
+import org.mimosacleat.proxy.settings.PeerSettings;
 import org.mimosacleat.proxy.settings.ProxySettings;
-import org.mimosacleat.wire.fleet.HomeMessageCodec;
 import org.mimosacleat.wire.peer.PeerAuthenticator;
-import org.mimosacleat.wire.peer.PeerMessage;
-import org.mimosacleat.wire.peer.PeerProtocolException;
 import org.tinylog.Logger;
 
 /**
  * One proxy.
  *
  * <pre>{@code
- * try (ProxyNode node = ProxyNode.start(settings, table)) {
+ * try (ProxyNode node = ProxyNode.start(settings, platform)) {
  *   node.callerAddress();
  * }
  * }</pre>
@@ -48,30 +55,56 @@
   private final VmId self;
   private final DecisionJournal journal = new DecisionJournal(clock);
   private final PeerLinks links;
+  private final MembershipDriver members;
+  private final ListKeeper lists;
+  private final ShareKeeper shares;
   private final Homes homes;
   private final PeerListener peers;
   private final CallerListener callers;
 
-  private ProxyNode(ProxySettings settings, TableService table) throws IOException {
+  private ProxyNode(ProxySettings settings, PlatformServices platform) throws IOException {
     List<GroupId> groups = settings.groups().stream().map(GroupSettings::id).toList();
-    StaticFleet fleet = new StaticFleet(settings.self(), settings.peers(), groups);
+    List<PeerSettings> seeds = new ArrayList<>(settings.peers());
+    seeds.add(settings.self());
+    LiveFleet fleet = new LiveFleet(clock, seeds, groups);
     PeerAuthenticator authenticator =
         new PeerAuthenticator(settings.self().id(), settings.peerKey().value(), random);
     int messageBytes = settings.limits().answerBytes() + settings.limits().frameBytes();
     this.self = settings.self().id();
     this.links = new PeerLinks(fleet, authenticator, executor, PEER_TIMEOUT, messageBytes);
+    FleetSender sender = new FleetSender(links, executor);
+    this.members =
+        new MembershipDriver(
+            settings.self(),
+            fleet,
+            sender,
+            new PlatformVmSource(seeds, platform.vmList()),
+            clock,
+            random,
+            executor);
+    this.lists =
+        new ListKeeper(
+            self,
+            fleet,
+            sender,
+            new ListFetcher(platform.table(), platform.objects()),
+            clock,
+            random,
+            executor);
+    this.shares = new ShareKeeper(self, fleet, lists, sender, clock, executor);
     this.homes =
         Homes.of(
             settings.groups(),
             new HomeContext(
-                settings.self().id(),
+                self,
                 settings.self().zone(),
                 clock,
                 random,
                 executor,
-                table,
+                platform.table(),
                 TABLE_TIMEOUT,
-                new LinkMessenger(fleet, links, executor),
+                new FleetMessenger(fleet, sender),
+                shares,
                 settings.limits(),
                 settings.monitor(),
                 journal));
@@ -80,16 +113,18 @@
             settings.listen().peers(),
             authenticator,
             homes,
-            this::receive,
+            new FleetReceivers(homes, members, lists, shares),
             executor,
             PEER_TIMEOUT,
             messageBytes);
     this.callers =
         new CallerListener(
             settings.listen().callers(),
-            new Dispatcher(settings.self().id(), fleet, homes, links, clock, random),
+            new Dispatcher(self, fleet, homes, links, clock, random),
             settings.limits(),
-            java.util.Set.copyOf(groups),
+            settings.authentication(),
+            lists,
+            Set.copyOf(groups),
             executor,
             random);
   }
@@ -97,12 +132,16 @@
   /**
    * Starts a proxy.
    *
-   * @param table the platform's table service
+   * @param platform the platform's services
    * @throws IOException if an address cannot be bound
    */
-  public static ProxyNode start(ProxySettings settings, TableService table) throws IOException {
-    ProxyNode node = new ProxyNode(settings, table);
+  public static ProxyNode start(ProxySettings settings, PlatformServices platform)
+      throws IOException {
+    ProxyNode node = new ProxyNode(settings, platform);
     node.peers.start();
+    node.members.start();
+    node.lists.start();
+    node.shares.start();
     node.homes.start();
     node.callers.start();
     Logger.info("started; clients at {}, peers at {}", node.callerAddress(), node.peerAddress());
@@ -144,6 +183,7 @@
   public boolean drain(Duration limit) throws InterruptedException {
     final Instant end = clock.instant().plus(limit);
     callers.stopAccepting();
+    members.leave();
     homes.handOverAll();
     callers.stopIdle();
     while (isBusy() && clock.instant().isBefore(end)) {
@@ -161,22 +201,13 @@
     peers.close();
     links.close();
     homes.close();
+    shares.close();
+    lists.close();
+    members.close();
     executor.shutdownNow();
   }
 
   private boolean isBusy() {
     return callers.connectionCount() > 0 || !homes.served().isEmpty();
   }
-
-  private void receive(VmId sender, PeerMessage.Fleet message) {
-    if (message.channel() != FleetChannel.HOMES) {
-      Logger.warn("{} sent a message on unknown channel {}", sender, message.channel());
-      return;
-    }
-    try {
-      homes.received(sender, HomeMessageCodec.decode(message.body()));
-    } catch (PeerProtocolException malformed) {
-      Logger.warn("{} sent a malformed message: {}", sender, malformed.getMessage());
-    }
-  }
 }
--- a/wire/src/main/java/org/mimosacleat/wire/fleet/HomeMessageCodec.java
+++ b/wire/src/main/java/org/mimosacleat/wire/fleet/HomeMessageCodec.java
@@ -2,8 +2,6 @@
 
 import java.io.IOException;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
 import java.util.stream.Collectors;
 import org.mimosacleat.core.id.AvailabilityZone;
@@ -14,8 +12,6 @@
 import org.mimosacleat.core.lease.LeaseRow;
 import org.mimosacleat.core.lease.WriteId;
 import org.mimosacleat.wire.peer.PeerProtocolException;
-import org.msgpack.core.MessageBufferPacker;
-import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 
@@ -32,10 +28,7 @@
 
   /** Returns the bytes of a message. */
   public static byte[] encode(HomeMessage message) throws IOException {
-    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
-      pack(packer, message);
-      return packer.toByteArray();
-    }
+    return Packed.encode(message, HomeMessageCodec::pack);
   }
 
   /**
@@ -44,13 +37,7 @@
    * @throws PeerProtocolException if the bytes are no message
    */
   public static HomeMessage decode(byte[] bytes) throws PeerProtocolException {
-    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
-      return unpack(unpacker);
-    } catch (PeerProtocolException malformed) {
-      throw malformed;
-    } catch (IOException | RuntimeException malformed) {
-      throw new PeerProtocolException("home message: " + malformed.getMessage());
-    }
+    return Packed.decode(bytes, "home message", HomeMessageCodec::unpack);
   }
 
   private static void pack(MessagePacker packer, HomeMessage message) throws IOException {
@@ -94,8 +81,8 @@
         .packLong(row.firstReserved().number())
         .packString(row.writeId().value())
         .packLong(handedOver.ceased().number());
-    packStrings(packer, row.successors().stream().map(VmId::value).toList());
-    packStrings(packer, row.endpoints().stream().map(EndpointId::value).toList());
+    Packed.writeStrings(packer, row.successors().stream().map(VmId::value).toList());
+    Packed.writeStrings(packer, row.endpoints().stream().map(EndpointId::value).toList());
   }
 
   private static HomeMessage unpack(MessageUnpacker unpacker) throws IOException {
@@ -132,7 +119,7 @@
     FencingToken firstReserved = new FencingToken(unpacker.unpackLong());
     WriteId writeId = new WriteId(unpacker.unpackString());
     FencingToken ceased = new FencingToken(unpacker.unpackLong());
-    List<VmId> successors = unpackStrings(unpacker).stream().map(VmId::new).toList();
+    List<VmId> successors = Packed.readStrings(unpacker).stream().map(VmId::new).toList();
     return new HomeMessage.HandedOver(
         new LeaseRow(
             group,
@@ -140,25 +127,8 @@
             token,
             firstReserved,
             successors,
-            unpackStrings(unpacker).stream().map(EndpointId::new).collect(Collectors.toSet()),
+            Packed.readStrings(unpacker).stream().map(EndpointId::new).collect(Collectors.toSet()),
             writeId),
         ceased);
   }
-
-  private static void packStrings(MessagePacker packer, Collection<String> strings)
-      throws IOException {
-    packer.packArrayHeader(strings.size());
-    for (String string : strings) {
-      packer.packString(string);
-    }
-  }
-
-  private static List<String> unpackStrings(MessageUnpacker unpacker) throws IOException {
-    int count = unpacker.unpackArrayHeader();
-    List<String> strings = new ArrayList<>();
-    for (int index = 0; index < count; index++) {
-      strings.add(unpacker.unpackString());
-    }
-    return strings;
-  }
 }
--- /dev/null
+++ b/wire/src/main/java/org/mimosacleat/wire/fleet/Packed.java
@@ -0,0 +1,76 @@
+package org.mimosacleat.wire.fleet;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import org.mimosacleat.wire.peer.PeerProtocolException;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** What the codecs of the fleet's messages have in common. */
+final class Packed {
+  private Packed() {}
+
+  /** Writes one value. */
+  @FunctionalInterface
+  interface Writer<T> {
+    void write(MessagePacker packer, T value) throws IOException;
+  }
+
+  /** Reads one value. */
+  @FunctionalInterface
+  interface Reader<T> {
+    T read(MessageUnpacker unpacker) throws IOException;
+  }
+
+  /** Returns the bytes of one message. */
+  static <T> byte[] encode(T message, Writer<T> writer) throws IOException {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      writer.write(packer, message);
+      return packer.toByteArray();
+    }
+  }
+
+  /** Reads one message; everything that is wrong with the bytes becomes one kind of exception. */
+  static <T> T decode(byte[] bytes, String name, Reader<T> reader) throws PeerProtocolException {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+      T message = reader.read(unpacker);
+      if (unpacker.hasNext()) {
+        throw new PeerProtocolException(name + ": bytes follow the message");
+      }
+      return message;
+    } catch (PeerProtocolException malformed) {
+      throw malformed;
+    } catch (IOException | RuntimeException malformed) {
+      throw new PeerProtocolException(name + ": " + malformed.getMessage());
+    }
+  }
+
+  static <T> void writeList(MessagePacker packer, Collection<T> values, Writer<T> writer)
+      throws IOException {
+    packer.packArrayHeader(values.size());
+    for (T value : values) {
+      writer.write(packer, value);
+    }
+  }
+
+  static <T> List<T> readList(MessageUnpacker unpacker, Reader<T> reader) throws IOException {
+    int count = unpacker.unpackArrayHeader();
+    List<T> values = new ArrayList<>();
+    for (int index = 0; index < count; index++) {
+      values.add(reader.read(unpacker));
+    }
+    return values;
+  }
+
+  static void writeStrings(MessagePacker packer, Collection<String> strings) throws IOException {
+    writeList(packer, strings, MessagePacker::packString);
+  }
+
+  static List<String> readStrings(MessageUnpacker unpacker) throws IOException {
+    return readList(unpacker, MessageUnpacker::unpackString);
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/org/mimosacleat/wire/fleet/SpreadMessageCodec.java
@@ -0,0 +1,147 @@
+package org.mimosacleat.wire.fleet;
+
+import java.io.IOException;
+import java.time.Instant;
+import java.util.Map;
+import java.util.TreeMap;
+import org.mimosacleat.core.id.VmId;
+import org.mimosacleat.core.lists.ListKind;
+import org.mimosacleat.core.lists.ListVersion;
+import org.mimosacleat.core.lists.PublishedList;
+import org.mimosacleat.core.spread.ListDelta;
+import org.mimosacleat.core.spread.ListUpdate;
+import org.mimosacleat.core.spread.SpreadMessage;
+import org.mimosacleat.wire.peer.PeerProtocolException;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** Turns messages about the operators' lists into MessagePack and back. */
+public final class SpreadMessageCodec {
+  private static final int ANNOUNCE = 1;
+  private static final int FETCH = 2;
+  private static final int UPDATES = 3;
+
+  private SpreadMessageCodec() {}
+
+  /** Returns the bytes of a message. */
+  public static byte[] encode(SpreadMessage message) throws IOException {
+    return Packed.encode(message, SpreadMessageCodec::pack);
+  }
+
+  /**
+   * Reads a message.
+   *
+   * @throws PeerProtocolException if the bytes are no message
+   */
+  public static SpreadMessage decode(byte[] bytes) throws PeerProtocolException {
+    return Packed.decode(bytes, "list message", SpreadMessageCodec::unpack);
+  }
+
+  private static void pack(MessagePacker packer, SpreadMessage message) throws IOException {
+    switch (message) {
+      case SpreadMessage.Announce announce -> {
+        packer.packInt(ANNOUNCE).packString(announce.sender().value());
+        Packed.writeList(packer, announce.versions().entrySet(), SpreadMessageCodec::packVersion);
+        Packed.writeList(packer, announce.updates(), SpreadMessageCodec::packUpdate);
+      }
+      case SpreadMessage.Fetch fetch -> {
+        packer.packInt(FETCH).packString(fetch.sender().value());
+        packVersion(packer, Map.entry(fetch.list(), fetch.have()));
+      }
+      case SpreadMessage.Updates updates -> {
+        packer.packInt(UPDATES).packString(updates.sender().value());
+        Packed.writeList(packer, updates.updates(), SpreadMessageCodec::packUpdate);
+      }
+    }
+  }
+
+  private static SpreadMessage unpack(MessageUnpacker unpacker) throws IOException {
+    int type = unpacker.unpackInt();
+    VmId sender = new VmId(unpacker.unpackString());
+    return switch (type) {
+      case ANNOUNCE ->
+          new SpreadMessage.Announce(
+              sender,
+              unpackVersions(unpacker),
+              Packed.readList(unpacker, SpreadMessageCodec::unpackUpdate));
+      case FETCH ->
+          new SpreadMessage.Fetch(
+              sender,
+              ListKind.values()[unpacker.unpackInt()],
+              new ListVersion(unpacker.unpackLong()));
+      case UPDATES ->
+          new SpreadMessage.Updates(
+              sender, Packed.readList(unpacker, SpreadMessageCodec::unpackUpdate));
+      default -> throw new PeerProtocolException("list message: unknown type " + type);
+    };
+  }
+
+  private static void packVersion(MessagePacker packer, Map.Entry<ListKind, ListVersion> version)
+      throws IOException {
+    packer.packInt(version.getKey().ordinal()).packLong(version.getValue().number());
+  }
+
+  private static Map<ListKind, ListVersion> unpackVersions(MessageUnpacker unpacker)
+      throws IOException {
+    int count = unpacker.unpackArrayHeader();
+    Map<ListKind, ListVersion> versions = new TreeMap<>();
+    for (int index = 0; index < count; index++) {
+      versions.put(
+          ListKind.values()[unpacker.unpackInt()], new ListVersion(unpacker.unpackLong()));
+    }
+    return versions;
+  }
+
+  private static void packUpdate(MessagePacker packer, ListUpdate update) throws IOException {
+    switch (update) {
+      case ListUpdate.Whole whole -> {
+        packer.packBoolean(true);
+        packList(packer, whole.list());
+      }
+      case ListDelta delta -> {
+        packer.packBoolean(false);
+        packList(packer, delta.header());
+        packer
+            .packInt(delta.keptAtStart())
+            .packInt(delta.keptAtEnd())
+            .packString(delta.inserted())
+            .packInt(delta.textHash());
+      }
+    }
+  }
+
+  private static ListUpdate unpackUpdate(MessageUnpacker unpacker) throws IOException {
+    boolean whole = unpacker.unpackBoolean();
+    PublishedList list = unpackList(unpacker);
+    return whole
+        ? new ListUpdate.Whole(list)
+        : new ListDelta(
+            list,
+            unpacker.unpackInt(),
+            unpacker.unpackInt(),
+            unpacker.unpackString(),
+            unpacker.unpackInt());
+  }
+
+  private static void packList(MessagePacker packer, PublishedList list) throws IOException {
+    packer
+        .packInt(list.kind().ordinal())
+        .packLong(list.version().number())
+        .packString(list.writer())
+        .packString(list.editor())
+        .packLong(list.editedAt().toEpochMilli())
+        .packString(list.note())
+        .packString(list.text());
+  }
+
+  private static PublishedList unpackList(MessageUnpacker unpacker) throws IOException {
+    return new PublishedList(
+        ListKind.values()[unpacker.unpackInt()],
+        new ListVersion(unpacker.unpackLong()),
+        unpacker.unpackString(),
+        unpacker.unpackString(),
+        Instant.ofEpochMilli(unpacker.unpackLong()),
+        unpacker.unpackString(),
+        unpacker.unpackString());
+  }
+}
