Run members, lists, shares and slots in the proxy

Cause: the decisions on members, lists, allowances and slots stood beside the path of requests. Change: drivers feed them on the path: clients log in by SCRAM against the list of plans, each statement is admitted by its customer's share and waits for a slot, homes move by policy and hand over after the last batch is answered. Found on the way and mended: two candidates took a home from each other for 30 s, because a new home waits 0.9 s for its predecessor and was silent meanwhile (it now sends heartbeats from the first moment); a first view of this VM alone made it coordinator of every customer for an instant, after which no share rises for 1 s (the seeds are listed first).

--- a/core/src/main/java/org/mimosacleat/core/admission/HomeShares.java
+++ b/core/src/main/java/org/mimosacleat/core/admission/HomeShares.java
@@ -74,12 +74,18 @@
     return reports;
   }
 
-  /** Applies an answer of a coordinator, if it answers the latest report. */
-  public void accept(ShareGrant grant) {
+  /**
+   * Applies an answer of a coordinator, if it answers the latest report.
+   *
+   * @return whether the share is as granted now
+   */
+  public boolean accept(ShareGrant grant) {
     Map<Resource, HomeShare> byResource = holders.get(grant.customer());
-    if (byResource != null && byResource.get(grant.resource()).accept(grant)) {
+    boolean accepted = byResource != null && byResource.get(grant.resource()).accept(grant);
+    if (accepted) {
       gate.setShare(grant.customer(), grant.resource(), grant.units());
     }
+    return accepted;
   }
 
   private long demand(CustomerId customer, Resource resource, long elapsedMilliseconds) {
--- a/lab/src/main/java/org/mimosacleat/lab/demo/LocalFleet.java
+++ b/lab/src/main/java/org/mimosacleat/lab/demo/LocalFleet.java
@@ -12,22 +12,17 @@
 import java.util.SplittableRandom;
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.core.time.MonotonicClock;
-import org.mimosacleat.core.time.Sleeper;
 import org.mimosacleat.proxy.node.ProxyNode;
 import org.mimosacleat.standin.endpoint.GroupStandin;
-import org.mimosacleat.standin.platform.FakeTableService;
-import org.mimosacleat.standin.platform.Faults;
 
 /** Stand-in groups and real proxies in front of them, in this process, joined by TCP. */
 public final class LocalFleet implements AutoCloseable {
-  private static final String CUSTOMER = "members";
-
   private final List<GroupStandin> groups;
   private final List<ProxyNode> proxies;
-  private final Faults tableFaults;
+  private final LocalPlatform platform;
 
-  private LocalFleet(List<GroupStandin> groups, List<ProxyNode> proxies, Faults tableFaults) {
-    this.tableFaults = tableFaults;
+  private LocalFleet(List<GroupStandin> groups, List<ProxyNode> proxies, LocalPlatform platform) {
+    this.platform = platform;
     this.groups = groups;
     this.proxies = proxies;
   }
@@ -50,13 +45,12 @@
     }
     FleetSettings settings =
         new FleetSettings(plan, FreePorts.find(plan.proxies() * FleetSettings.PORTS_PER_PROXY));
-    Faults faults = new Faults(Sleeper.SYSTEM);
-    FakeTableService table = new FakeTableService(faults);
+    LocalPlatform platform = new LocalPlatform(clock);
     List<ProxyNode> proxies = new ArrayList<>();
     for (int number = 0; number < plan.proxies(); number++) {
-      proxies.add(ProxyNode.start(settings.ofProxy(number, groups), table));
+      proxies.add(ProxyNode.start(settings.ofProxy(number, groups), platform.services()));
     }
-    return new LocalFleet(groups, proxies, faults);
+    return new LocalFleet(groups, proxies, platform);
   }
 
   /** Returns the stand-in groups. */
@@ -69,16 +63,16 @@
     return proxies;
   }
 
-  /** Returns the switches for faults of the table service. */
-  public Faults tableFaults() {
-    return tableFaults;
+  /** Returns the platform. */
+  public LocalPlatform platform() {
+    return platform;
   }
 
   /** Connects the stock driver to a proxy. */
   public Connection connect(int proxy, GroupId group, String session) throws SQLException {
     InetSocketAddress address = proxies.get(proxy).callerAddress();
     Properties properties = new Properties();
-    properties.setProperty("user", CUSTOMER);
+    properties.setProperty("user", LocalPlatform.CUSTOMER);
     properties.setProperty("options", "-c mimosacleat.session=" + session);
     String url = "jdbc:postgresql://127.0.0.1:" + address.getPort() + "/" + group;
     return DriverManager.getConnection(url, properties);
--- /dev/null
+++ b/lab/src/main/java/org/mimosacleat/lab/demo/LocalPlatform.java
@@ -0,0 +1,80 @@
+package org.mimosacleat.lab.demo;
+
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import org.mimosacleat.core.lists.ListKind;
+import org.mimosacleat.core.lists.ListVersion;
+import org.mimosacleat.core.time.Sleeper;
+import org.mimosacleat.core.vmlist.VmListing;
+import org.mimosacleat.platform.lists.ListEdit;
+import org.mimosacleat.platform.lists.ListPublisher;
+import org.mimosacleat.platform.lists.PublishResult;
+import org.mimosacleat.proxy.node.PlatformServices;
+import org.mimosacleat.standin.platform.FakeObjectStore;
+import org.mimosacleat.standin.platform.FakeTableService;
+import org.mimosacleat.standin.platform.FakeVmList;
+import org.mimosacleat.standin.platform.Faults;
+
+/** The platform of a deployment on this machine, with a first version of both lists. */
+public final class LocalPlatform {
+  /** The customer that the lists of a local deployment name. */
+  public static final String CUSTOMER = "members";
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(5);
+  private static final String ALLOWANCES =
+      """
+      [plan standard]
+      connections = 100
+      concurrent-statements = 400
+      statements-per-second = 100000
+      guaranteed-share = 50
+      request-deadline = 30s
+      """;
+  private static final String PLANS =
+      """
+      [customer members]
+      plan = standard
+      """;
+
+  private final InstantSource clock;
+  private final Faults tableFaults = new Faults(Sleeper.SYSTEM);
+  private final Faults objectFaults = new Faults(Sleeper.SYSTEM);
+  private final FakeTableService table = new FakeTableService(tableFaults);
+  private final FakeObjectStore objects = new FakeObjectStore(objectFaults);
+  private final FakeVmList vmList;
+
+  /** Starts the services and publishes the lists. */
+  public LocalPlatform(InstantSource clock) {
+    this.clock = clock;
+    this.vmList =
+        new FakeVmList(
+            new Faults(Sleeper.SYSTEM),
+            clock,
+            new VmListing(clock.instant(), List.of(), List.of()));
+    publish(ListKind.ALLOWANCES, new ListVersion(0), ALLOWANCES);
+    publish(ListKind.PLANS, new ListVersion(0), PLANS);
+  }
+
+  /** Publishes a version of a list on behalf of an operator. */
+  public PublishResult publish(ListKind kind, ListVersion base, String text) {
+    ListPublisher publisher = new ListPublisher(table, objects, clock, new SecureRandom());
+    return publisher.publish(new ListEdit(kind, base, "local operator", "", text), TIMEOUT);
+  }
+
+  /** Returns the services as proxies use them. */
+  public PlatformServices services() {
+    return new PlatformServices(table, objects, vmList);
+  }
+
+  /** Returns the switches for faults of the table service. */
+  public Faults tableFaults() {
+    return tableFaults;
+  }
+
+  /** Returns the switches for faults of the object store. */
+  public Faults objectFaults() {
+    return objectFaults;
+  }
+}
--- a/lab/src/test/java/org/mimosacleat/lab/path/FailoverPathTest.java
+++ b/lab/src/test/java/org/mimosacleat/lab/path/FailoverPathTest.java
@@ -89,7 +89,7 @@
     EndpointStandin replaced = fleet.groups().getFirst().primary();
     writeUntilAcknowledged("before", WRITES_BEFORE);
 
-    fleet.tableFaults().setDown(true);
+    fleet.platform().tableFaults().setDown(true);
     replaced.kill();
     writeUntilAcknowledged("after", WRITES_AFTER);
 
--- a/proxy/src/main/java/org/mimosacleat/proxy/caller/ScramAuthenticator.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/caller/ScramAuthenticator.java
@@ -37,8 +37,7 @@
       String user, FrameReader reader, FrameWriter writer) throws IOException {
     if (!customers.isReady()) {
       return Either.left(
-          new Failure(
-              ErrorKind.UNAVAILABLE, "this proxy has not read the list of customers yet"));
+          new Failure(ErrorKind.UNAVAILABLE, "this proxy has not read the list of customers yet"));
     }
     Optional<ScramVerifier> verifier = verifierOf(user);
     ScramServer server =
--- a/proxy/src/main/java/org/mimosacleat/proxy/caller/TrustAuthenticator.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/caller/TrustAuthenticator.java
@@ -22,7 +22,6 @@
     return customers.find(customer).isPresent()
         ? Either.right(customer)
         : Either.left(
-            new Failure(
-                ErrorKind.AUTHENTICATION_FAILED, "customer '" + user + "' is not listed"));
+            new Failure(ErrorKind.AUTHENTICATION_FAILED, "customer '" + user + "' is not listed"));
   }
 }
--- a/proxy/src/main/java/org/mimosacleat/proxy/endpoint/EndpointLogin.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/endpoint/EndpointLogin.java
@@ -73,8 +73,7 @@
   private static void runScram(
       Frame offer, FrameReader reader, FrameWriter writer, EndpointAddress address)
       throws IOException {
-    ScramClient client =
-        new ScramClient(address.user(), address.password().value().toCharArray());
+    ScramClient client = new ScramClient(address.user(), address.password().value().toCharArray());
     writer.write(orThrow(client.first(offer)));
     writer.write(orThrow(client.last(reader.read())));
     orThrow(client.verify(reader.read()));
--- a/proxy/src/main/java/org/mimosacleat/proxy/fleet/ListKeeper.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/fleet/ListKeeper.java
@@ -132,9 +132,7 @@
   }
 
   private void fetch(ListKind kind) {
-    fetcher
-        .newest(kind, STORE_TIMEOUT)
-        .peek(found -> found.ifPresent(this::offerFromStore));
+    fetcher.newest(kind, STORE_TIMEOUT).peek(found -> found.ifPresent(this::offerFromStore));
   }
 
   private void offerFromStore(PublishedList list) {
--- a/proxy/src/main/java/org/mimosacleat/proxy/fleet/LiveFleet.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/fleet/LiveFleet.java
@@ -57,8 +57,7 @@
 
   /** Takes in a new view of the members. */
   public void update(MembersView view) {
-    List<Member> homes =
-        view.homes().stream().sorted(Comparator.comparing(Member::vm)).toList();
+    List<Member> homes = view.homes().stream().sorted(Comparator.comparing(Member::vm)).toList();
     picture.updateAndGet(before -> next(before, view, homes));
   }
 
@@ -72,8 +71,7 @@
     Picture current = picture.get();
     return current
         .placement()
-        .withMembers(
-            current.homes().stream().filter(member -> !member.vm().equals(vm)).toList());
+        .withMembers(current.homes().stream().filter(member -> !member.vm().equals(vm)).toList());
   }
 
   /** Returns how long the members have been the same. */
@@ -126,8 +124,7 @@
         .orElseThrow();
   }
 
-  private Picture next(
-      Picture before, MembersView view, List<Member> homes) {
+  private Picture next(Picture before, MembersView view, List<Member> homes) {
     boolean same = before.homes().equals(homes);
     return new Picture(
         addresses(before.vms(), view),
--- a/proxy/src/main/java/org/mimosacleat/proxy/fleet/MembershipDriver.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/fleet/MembershipDriver.java
@@ -65,6 +65,8 @@
 
   /** Starts to probe and to gossip. */
   public void start() {
+    // The first view must not be of this VM alone, or it would take every home.
+    mailbox.post(() -> step(new MembershipInput.Listed(source.seeds())));
     mailbox.start(executor);
   }
 
@@ -105,9 +107,7 @@
     switch (action) {
       case MembershipAction.Send send ->
           sender.send(
-              send.to(),
-              FleetChannel.MEMBERS,
-              () -> MembershipMessageCodec.encode(send.message()));
+              send.to(), FleetChannel.MEMBERS, () -> MembershipMessageCodec.encode(send.message()));
       case MembershipAction.ViewChanged changed -> {
         fleet.update(changed.view());
         changed.explanations().forEach(line -> Logger.info("members: {}", line));
--- a/proxy/src/main/java/org/mimosacleat/proxy/fleet/PlatformVmSource.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/fleet/PlatformVmSource.java
@@ -26,14 +26,18 @@
     this.vmList = vmList;
   }
 
+  @Override
+  public List<ListedVm> seeds() {
+    return seeds.stream()
+        .map(
+            seed -> new ListedVm(seed.id(), seed.zone(), AddressType.format(seed.address()), false))
+        .toList();
+  }
+
   @Override
   public List<ListedVm> list() {
     Map<VmId, ListedVm> listed = new LinkedHashMap<>();
-    for (PeerSettings seed : seeds) {
-      listed.put(
-          seed.id(),
-          new ListedVm(seed.id(), seed.zone(), AddressType.format(seed.address()), false));
-    }
+    seeds().forEach(seed -> listed.put(seed.vm(), seed));
     vmList.read(TIMEOUT).forEach(listing -> add(listed, listing));
     return List.copyOf(listed.values());
   }
--- a/proxy/src/main/java/org/mimosacleat/proxy/fleet/ShareKeeper.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/fleet/ShareKeeper.java
@@ -10,17 +10,15 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
-import java.util.concurrent.TimeUnit;
 import org.mimosacleat.core.admission.AdmissionGate;
 import org.mimosacleat.core.admission.Allowance;
 import org.mimosacleat.core.admission.HomeShares;
 import org.mimosacleat.core.admission.Permit;
-import org.mimosacleat.core.admission.Resource;
 import org.mimosacleat.core.admission.ShareCoordinators;
 import org.mimosacleat.core.admission.ShareGrant;
 import org.mimosacleat.core.admission.ShareReport;
+import org.mimosacleat.core.error.ErrorKind;
 import org.mimosacleat.core.error.Failure;
 import org.mimosacleat.core.id.CustomerId;
 import org.mimosacleat.core.id.GroupId;
@@ -37,7 +35,7 @@
  * customers that it coordinates.
  */
 public final class ShareKeeper implements Admission, AutoCloseable {
-  private static final Duration FIRST_SHARE_TIMEOUT = Duration.ofMillis(500);
+  private static final Duration FIRST_SHARE_TIMEOUT = Duration.ofSeconds(3);
   private static final double SMALLEST_WEIGHT = 0.01;
 
   private final VmId self;
@@ -49,7 +47,7 @@
   private final HomeShares shares;
   private final ShareCoordinators coordinators;
   private final Mailbox mailbox = new Mailbox(HomeShares.REPORT_INTERVAL, this::tick);
-  private final ConcurrentHashMap<CustomerId, FirstShare> customers = new ConcurrentHashMap<>();
+  private final ConcurrentHashMap<CustomerId, FirstShare> firstShares = new ConcurrentHashMap<>();
 
   /** Makes a keeper without any share. */
   public ShareKeeper(
@@ -76,6 +74,11 @@
 
   @Override
   public Either<Failure, Permit> admit(CustomerId customer) {
+    if (lists.isReady() && lists.find(customer).isEmpty()) {
+      return Either.left(
+          new Failure(
+              ErrorKind.OVER_ALLOWANCE, "not run: customer " + customer + " is not listed"));
+    }
     awaitFirstShare(customer);
     return gate.admit(customer);
   }
@@ -117,20 +120,17 @@
 
   /** The first statement of a customer waits until its share has come, for a bounded time. */
   private void awaitFirstShare(CustomerId customer) {
-    FirstShare first = customers.get(customer);
-    if (first == null) {
-      first = customers.computeIfAbsent(customer, any -> new FirstShare(new CountDownLatch(1)));
-      mailbox.post(() -> shares.add(customer));
-    }
-    first.await(FIRST_SHARE_TIMEOUT);
+    firstShares.computeIfAbsent(customer, any -> new FirstShare()).await(FIRST_SHARE_TIMEOUT);
   }
 
   private void tick() {
+    if (homes().contains(self)) {
+      // A coordinator raises shares only while every home reports, used or not.
+      lists.inForce().customers().keySet().forEach(shares::add);
+    }
     Map<VmId, List<ShareReport>> byCoordinator = new HashMap<>();
     for (ShareReport report : shares.reports(fleet::coordinatorOf)) {
-      byCoordinator
-          .computeIfAbsent(report.coordinator(), any -> new ArrayList<>())
-          .add(report);
+      byCoordinator.computeIfAbsent(report.coordinator(), any -> new ArrayList<>()).add(report);
     }
     byCoordinator.forEach(
         (coordinator, reports) -> {
@@ -149,8 +149,7 @@
       lists
           .find(report.customer())
           .ifPresentOrElse(
-              allowance ->
-                  coordinators.setCustomer(report.customer(), allowance(allowance), homes),
+              allowance -> coordinators.setCustomer(report.customer(), allowance(allowance), homes),
               () -> coordinators.remove(report.customer()));
       coordinators.report(report).ifPresent(grants::add);
     }
@@ -162,10 +161,11 @@
   }
 
   private void accept(ShareGrant grant) {
-    shares.accept(grant);
-    FirstShare first = customers.get(grant.customer());
-    if (first != null && grant.resource() == Resource.CONNECTIONS) {
-      first.arrived().countDown();
+    boolean accepted = shares.accept(grant);
+    if (accepted && grant.units() > 0) {
+      firstShares
+          .computeIfAbsent(grant.customer(), any -> new FirstShare())
+          .arrived(grant.resource());
     }
   }
 
@@ -190,26 +190,4 @@
   private void send(VmId to, ShareMessage message) {
     sender.send(to, FleetChannel.SHARES, () -> ShareMessageCodec.encode(message));
   }
-
-  /**
-   * Tells when the first share of a customer has come.
-   *
-   * @param arrived open once it has
-   */
-  private record FirstShare(CountDownLatch arrived) {
-    void await(Duration timeout) {
-      if (arrived.getCount() == 0) {
-        return;
-      }
-      try {
-        boolean inTime = arrived.await(timeout.toNanos(), TimeUnit.NANOSECONDS);
-        if (!inTime) {
-          // The gate refuses by itself; later statements need not wait again.
-          arrived.countDown();
-        }
-      } catch (InterruptedException interrupted) {
-        Thread.currentThread().interrupt();
-      }
-    }
-  }
 }
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/EndpointWork.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/EndpointWork.java
@@ -116,8 +116,7 @@
     }
     return answered(
         attempt,
-        new PooledRun(
-            pool, run.connection().orElseThrow(), permit.get(), run.result().get()),
+        new PooledRun(pool, run.connection().orElseThrow(), permit.get(), run.result().get()),
         primaryTerm);
   }
 
@@ -126,13 +125,8 @@
     if (run.result().reply().status() != TransactionStatus.IDLE) {
       OpenTransaction opened =
           transactions.open(
-              attempt.ticket().owner(),
-              run.pool(),
-              run.connection(),
-              run.permit(),
-              primaryTerm);
-      return Either.right(
-          Optional.of(answer(run.result(), opened.number(), Position.NONE)));
+              attempt.ticket().owner(), run.pool(), run.connection(), run.permit(), primaryTerm);
+      return Either.right(Optional.of(answer(run.result(), opened.number(), Position.NONE)));
     }
     run.pool().release(run.connection());
     run.permit().close();
@@ -155,9 +149,7 @@
               () ->
                   failure(
                       ErrorKind.OVERLOADED,
-                      "no connection to endpoint "
-                          + endpoint
-                          + " was free before the deadline"));
+                      "no connection to endpoint " + endpoint + " was free before the deadline"));
     } catch (IOException unreachable) {
       return failure(
           ErrorKind.UNAVAILABLE,
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/GroupAgent.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/GroupAgent.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
@@ -58,6 +59,7 @@
   private Instant nextRefresh = Instant.MIN;
   private Instant nextTakeOver = Instant.MIN;
   private boolean serving;
+  private boolean held;
 
   GroupAgent(GroupId group, HomeContext context, GroupPartsFactory factory) {
     this.group = group;
@@ -148,8 +150,12 @@
     parts.state().tracker().tick();
     parts.slots().tick();
     parts.transactions().discardIdle(context.limits().idleTransactionTimeout());
-    if (serving) {
+    noticeLoss();
+    if (lease.holds()) {
+      // From the start: a new home waits for its predecessor longer than watchers wait for it.
       sendHeartbeats();
+    }
+    if (serving) {
       followPolicy(context.clock().instant());
       continueHandOver();
     } else {
@@ -157,6 +163,16 @@
     }
   }
 
+  /** Whoever took the home has to be known before this VM may seek it again. */
+  private void noticeLoss() {
+    boolean lostIt = held && !lease.holds();
+    held = lease.holds();
+    if (lostIt) {
+      nextRefresh = Instant.MIN;
+      nextTakeOver = context.clock().instant().plus(HomeWatchTimes.STANDARD.silence());
+    }
+  }
+
   private void beginHandOver(VmId to) {
     if (serving && handOver.get().isEmpty()) {
       Instant giveUpAt = context.clock().instant().plus(TRANSACTION_GRACE);
@@ -168,8 +184,7 @@
   private void continueHandOver() {
     handOver
         .get()
-        .filter(
-            plan -> plan.isReady(parts.transactions(), inFlight, context.clock().instant()))
+        .filter(plan -> plan.isReady(parts.transactions(), inFlight, context.clock().instant()))
         .ifPresent(plan -> lease.handOver(plan.to()));
   }
 
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/GroupHome.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/GroupHome.java
@@ -57,7 +57,7 @@
     if (permit.isLeft()) {
       return Either.left(permit.getLeft());
     }
-    try (Permit held = permit.get()) {
+    try (Permit _ = permit.get()) {
       return start(attempt(request, ticket));
     }
   }
@@ -108,8 +108,10 @@
         .runOnReplica(attempt, endpoint)
         .fold(
             Either::left,
-            answer -> answer.map(Either::<Failure, WorkAnswer>right)
-                .orElseGet(() -> start(attempt.asWrite())));
+            answer ->
+                answer
+                    .map(Either::<Failure, WorkAnswer>right)
+                    .orElseGet(() -> start(attempt.asWrite())));
   }
 
   /** Only reads come here: whatever is known of them, they may run again. */
@@ -132,7 +134,6 @@
             .maximumAge()
             .<Freshness>map(age -> new Freshness.MaximumAge(age, required))
             .orElseGet(() -> new Freshness.OwnWrites(required));
-    return new RouteRequest(
-        attempt.kind(), freshness, attempt.arrivedAt(), attempt.deadline());
+    return new RouteRequest(attempt.kind(), freshness, attempt.arrivedAt(), attempt.deadline());
   }
 }
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/GroupPartsFactory.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/GroupPartsFactory.java
@@ -50,8 +50,7 @@
   }
 
   GroupHome home(GroupParts parts) {
-    SlottedRunner runner =
-        new SlottedRunner(context.clock(), parts.slots(), context.admission());
+    SlottedRunner runner = new SlottedRunner(context.clock(), parts.slots(), context.admission());
     WriteConfirmation confirmation =
         new WriteConfirmation(
             context.clock(),
@@ -69,8 +68,7 @@
         parts.state(),
         parts.watchers(),
         context.admission(),
-        new EndpointWork(
-            context.clock(), parts, runner, context.admission(), confirmation));
+        new EndpointWork(context.clock(), parts, runner, context.admission(), confirmation));
   }
 
   private GroupState state(LeaseStatus lease) {
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/SlottedResult.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/SlottedResult.java
@@ -11,8 +11,7 @@
  * @param connection the connection that it was sent on; empty if it was not sent
  * @param result its answer, or why there is none
  */
-record SlottedResult(
-    Optional<EndpointConnection> connection, Either<Failure, BatchResult> result) {
+record SlottedResult(Optional<EndpointConnection> connection, Either<Failure, BatchResult> result) {
   static SlottedResult notSent(Failure failure) {
     return new SlottedResult(Optional.empty(), Either.left(failure));
   }
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/SlottedRunner.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/SlottedRunner.java
@@ -34,10 +34,7 @@
    * taken, the connection must be discarded; {@link SlottedResult} says which it was.
    */
   SlottedResult run(
-      Attempt attempt,
-      EndpointId endpoint,
-      boolean onPrimary,
-      ConnectionSource source) {
+      Attempt attempt, EndpointId endpoint, boolean onPrimary, ConnectionSource source) {
     Either<Failure, Ticket> slot = slots.acquire(work(attempt, endpoint));
     if (slot.isLeft()) {
       return SlottedResult.notSent(slot.getLeft());
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/StatementSlots.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/StatementSlots.java
@@ -38,8 +38,7 @@
   private final SerialQueue serial = new SerialQueue();
   private final InstantSource clock;
   private final SlotScheduler scheduler;
-  private final Map<Ticket, CompletableFuture<Either<Failure, Ticket>>> waiting =
-      new HashMap<>();
+  private final Map<Ticket, CompletableFuture<Either<Failure, Ticket>>> waiting = new HashMap<>();
   private final Map<EndpointId, LongAdder> outstanding = new ConcurrentHashMap<>();
   private final int slots;
 
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/WriteConfirmation.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/WriteConfirmation.java
@@ -39,8 +39,7 @@
   private Either<Failure, Position> await(Position commit, Instant deadline) {
     Instant limit = clock.instant().plus(timeout);
     Instant end = limit.isBefore(deadline) ? limit : deadline;
-    CompletableFuture<Either<Failure, Position>> confirmation =
-        state.tracker().await(commit, end);
+    CompletableFuture<Either<Failure, Position>> confirmation = state.tracker().await(commit, end);
     while (true) {
       CompletableFuture<Void> change = state.nextChange();
       if (confirmation.isDone() || !clock.instant().isBefore(end)) {
@@ -61,7 +60,6 @@
     } catch (ExecutionException | TimeoutException unanswered) {
       // Both are answered below: whether the write is kept is not known.
     }
-    return Either.left(
-        new Failure(ErrorKind.NOT_CONFIRMED, "the write was not confirmed in time"));
+    return Either.left(new Failure(ErrorKind.NOT_CONFIRMED, "the write was not confirmed in time"));
   }
 }
--- a/proxy/src/main/java/org/mimosacleat/proxy/node/FleetReceivers.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/node/FleetReceivers.java
@@ -40,15 +40,11 @@
 
   private void pass(VmId sender, PeerMessage.Fleet message) throws PeerProtocolException {
     switch (message.channel()) {
-      case FleetChannel.HOMES ->
-          homes.received(sender, HomeMessageCodec.decode(message.body()));
-      case FleetChannel.MEMBERS ->
-          members.received(MembershipMessageCodec.decode(message.body()));
+      case FleetChannel.HOMES -> homes.received(sender, HomeMessageCodec.decode(message.body()));
+      case FleetChannel.MEMBERS -> members.received(MembershipMessageCodec.decode(message.body()));
       case FleetChannel.LISTS -> lists.received(SpreadMessageCodec.decode(message.body()));
-      case FleetChannel.SHARES ->
-          shares.received(sender, ShareMessageCodec.decode(message.body()));
-      default ->
-          Logger.warn("{} sent a message on unknown channel {}", sender, message.channel());
+      case FleetChannel.SHARES -> shares.received(sender, ShareMessageCodec.decode(message.body()));
+      default -> Logger.warn("{} sent a message on unknown channel {}", sender, message.channel());
     }
   }
 }
--- a/wire/src/main/java/org/mimosacleat/wire/fleet/MembershipMessageCodec.java
+++ b/wire/src/main/java/org/mimosacleat/wire/fleet/MembershipMessageCodec.java
@@ -44,10 +44,7 @@
       case MembershipMessage.IndirectPing ping ->
           packer.packLong(ping.sequence()).packString(ping.target().value());
       case MembershipMessage.Compare compare ->
-          packer
-              .packInt(compare.bucket())
-              .packInt(compare.buckets())
-              .packLong(compare.digest());
+          packer.packInt(compare.bucket()).packInt(compare.buckets()).packLong(compare.digest());
       case MembershipMessage.Bucket bucket -> packer.packBoolean(bucket.isAnswer());
     }
     Packed.writeList(packer, message.records(), MembershipMessageCodec::packRecord);
--- a/wire/src/main/java/org/mimosacleat/wire/fleet/ShareMessageCodec.java
+++ b/wire/src/main/java/org/mimosacleat/wire/fleet/ShareMessageCodec.java
@@ -48,8 +48,7 @@
     int type = unpacker.unpackInt();
     return switch (type) {
       case REPORTS ->
-          new ShareMessage.Reports(
-              Packed.readList(unpacker, ShareMessageCodec::unpackReport));
+          new ShareMessage.Reports(Packed.readList(unpacker, ShareMessageCodec::unpackReport));
       case GRANTS ->
           new ShareMessage.Grants(Packed.readList(unpacker, ShareMessageCodec::unpackGrant));
       default -> throw new PeerProtocolException("share message: unknown type " + type);
--- a/wire/src/main/java/org/mimosacleat/wire/fleet/SpreadMessageCodec.java
+++ b/wire/src/main/java/org/mimosacleat/wire/fleet/SpreadMessageCodec.java
@@ -86,8 +86,7 @@
     int count = unpacker.unpackArrayHeader();
     Map<ListKind, ListVersion> versions = new TreeMap<>();
     for (int index = 0; index < count; index++) {
-      versions.put(
-          ListKind.values()[unpacker.unpackInt()], new ListVersion(unpacker.unpackLong()));
+      versions.put(ListKind.values()[unpacker.unpackInt()], new ListVersion(unpacker.unpackLong()));
     }
     return versions;
   }
