--- /dev/null
+++ b/lab/src/main/java/org/mimosacleat/lab/command/LoopbackCommand.java
@@ -0,0 +1,110 @@
+package org.mimosacleat.lab.command;
+
+import java.io.PrintWriter;
+import java.time.Duration;
+import java.util.concurrent.Callable;
+import org.mimosacleat.core.id.GroupId;
+import org.mimosacleat.core.time.MonotonicClock;
+import org.mimosacleat.lab.bench.BenchTarget;
+import org.mimosacleat.lab.bench.IdleConnectionBench;
+import org.mimosacleat.lab.bench.LoopbackBench;
+import org.mimosacleat.lab.bench.LoopbackBenchSettings;
+import org.mimosacleat.lab.bench.LoopbackReport;
+import org.mimosacleat.lab.bench.MemoryReport;
+import org.mimosacleat.lab.bench.ResidentMemory;
+import org.mimosacleat.lab.demo.FleetPlan;
+import org.mimosacleat.lab.demo.LocalFleet;
+import org.mimosacleat.lab.demo.LocalPlatform;
+import org.mimosacleat.standin.endpoint.EndpointSettings;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** The subcommand {@code loopback}: what the proxy adds to a statement and to memory. */
+@Command(
+    name = "loopback",
+    description = "Compares statements through a proxy with statements sent directly.")
+final class LoopbackCommand implements Callable<Integer> {
+  private static final GroupId GROUP = new GroupId("bench");
+  private static final int SLOTS = 64;
+  private static final int CONNECTIONS = 400;
+  private static final Duration SETTLING_TIME = Duration.ofSeconds(2);
+
+  @Option(
+      names = "--connections",
+      defaultValue = "3700",
+      description = "Idle connections to hold (default: ${DEFAULT-VALUE}).")
+  private int connections;
+
+  @Option(
+      names = "--steps",
+      defaultValue = "4",
+      description = "Readings on the way there (default: ${DEFAULT-VALUE}).")
+  private int steps;
+
+  @Spec private CommandSpec specification;
+
+  @Override
+  public Integer call() throws Exception {
+    PrintWriter out = specification.commandLine().getOut();
+    EndpointSettings endpoints =
+        EndpointSettings.defaults().withSizes(SLOTS, CONNECTIONS).withConnectDelay(Duration.ZERO);
+    FleetPlan plan = FleetPlan.small(GROUP.value()).withProxies(1).withEndpoints(endpoints);
+    try (LocalFleet fleet = LocalFleet.start(plan)) {
+      fleet.awaitServing(GROUP);
+      BenchTarget proxied =
+          new BenchTarget(
+              fleet.proxies().getFirst().callerAddress(),
+              GROUP.value(),
+              LocalPlatform.CUSTOMER,
+              "");
+      BenchTarget direct =
+          new BenchTarget(
+              fleet.groups().getFirst().primary().address(),
+              "postgres",
+              LocalPlatform.CUSTOMER,
+              "");
+      print(bench(direct, proxied).run(), out);
+      MemoryReport memory =
+          new IdleConnectionBench(proxied, ResidentMemory.ofOwnProcess(), SETTLING_TIME)
+              .run(connections, steps);
+      print(memory, out);
+    }
+    return 0;
+  }
+
+  private static LoopbackBench bench(BenchTarget direct, BenchTarget proxied) {
+    return new LoopbackBench(
+        direct, proxied, LoopbackBenchSettings.defaults(), new MonotonicClock());
+  }
+
+  private static void print(LoopbackReport report, PrintWriter out) {
+    out.printf(
+        "median round trip at one client: direct %.1f us, through the proxy %.1f us,"
+            + " ratio %.2f (goal: at most 1.30)%n",
+        report.latency().directMedianMicroseconds(),
+        report.latency().proxiedMedianMicroseconds(),
+        report.latency().ratio());
+    out.printf(
+        "throughput at %d clients: direct %.0f/s, through the proxy %.0f/s, share %.2f"
+            + " (goal: at least 0.70)%n",
+        report.throughput().clients(),
+        report.throughput().directPerSecond(),
+        report.throughput().proxiedPerSecond(),
+        report.throughput().share());
+    out.flush();
+  }
+
+  private static void print(MemoryReport memory, PrintWriter out) {
+    memory
+        .readings()
+        .forEach(
+            reading ->
+                out.printf(
+                    "%d idle connections: %.1f MB resident (clients and stand-ins included)%n",
+                    reading.connections(), reading.residentBytes() / 1e6));
+    out.printf("slope: %.0f bytes a connection, both ends%n", memory.bytesPerConnection());
+    out.flush();
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/org/mimosacleat/lab/demo/DemoRun.java
@@ -0,0 +1,92 @@
+package org.mimosacleat.lab.demo;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.stream.IntStream;
+import org.mimosacleat.core.id.GroupId;
+import org.mimosacleat.core.time.MonotonicClock;
+import org.mimosacleat.lab.measure.Deployment;
+import org.mimosacleat.lab.workload.Scenario;
+import org.mimosacleat.lab.workload.Workload;
+import org.mimosacleat.lab.workload.WorkloadProgress;
+import org.mimosacleat.lab.workload.WorkloadReport;
+import org.mimosacleat.lab.workload.WorkloadSettings;
+import org.mimosacleat.proxy.node.ProxyNode;
+import org.mimosacleat.standin.endpoint.DelayModel;
+import org.mimosacleat.standin.endpoint.EndpointSettings;
+import org.mimosacleat.standin.endpoint.EndpointStandin;
+
+/** One deployment on stand-ins under its workload, with a primary killed a third of the way in. */
+public final class DemoRun {
+  private static final int SESSIONS = 24;
+  private static final Duration PAUSE = Duration.ofMillis(20);
+  private static final Duration SERVICE_TIME = Duration.ofMillis(1);
+  private static final Duration REPLICATION_LAG = Duration.ofMillis(20);
+  private static final double LAG_SPREAD = 1.38;
+  private static final int KILL_DIVISOR = 3;
+
+  private final Deployment deployment;
+  private final Scenario scenario;
+  private final Duration duration;
+  private final long seed;
+
+  /** Takes what to run, for how long, and the seed of all draws. */
+  public DemoRun(Deployment deployment, Scenario scenario, Duration duration, long seed) {
+    this.deployment = deployment;
+    this.scenario = scenario;
+    this.duration = duration;
+    this.seed = seed;
+  }
+
+  /** Starts everything, runs the workload, and stops everything. */
+  public DemoReport run(Consumer<WorkloadProgress> progress) throws Exception {
+    InstantSource clock = new MonotonicClock();
+    try (LocalFleet fleet = LocalFleet.start(plan());
+        ScheduledExecutorService scheduler = Executors.newSingleThreadScheduledExecutor()) {
+      EndpointStandin victim = fleet.groups().getFirst().endpoints().getFirst();
+      Workload workload =
+          new Workload(settings(fleet), clock, new SplittableRandom(seed), progress);
+      scheduler.schedule(
+          victim::kill, duration.dividedBy(KILL_DIVISOR).toMillis(), TimeUnit.MILLISECONDS);
+      WorkloadReport report = workload.run();
+      return new DemoReport(deployment.name(), victim.id(), report);
+    }
+  }
+
+  private FleetPlan plan() {
+    List<GroupId> groups =
+        IntStream.rangeClosed(1, deployment.groups())
+            .mapToObj(number -> new GroupId(deployment.name() + "-" + number))
+            .toList();
+    EndpointSettings endpoints =
+        EndpointSettings.defaults()
+            .withSizes(deployment.slots(), deployment.connections())
+            .withConnectDelay(deployment.connectTime())
+            .withServiceTime(new DelayModel.Constant(SERVICE_TIME))
+            .withLag(
+                new DelayModel.Constant(deployment.zoneLatency()),
+                new DelayModel.LogNormal(REPLICATION_LAG, LAG_SPREAD));
+    return new FleetPlan(
+        deployment.zones(),
+        deployment.zones().size(),
+        groups,
+        deployment.instances(),
+        endpoints,
+        seed);
+  }
+
+  private WorkloadSettings settings(LocalFleet fleet) {
+    List<InetSocketAddress> proxies =
+        fleet.proxies().stream().map(ProxyNode::callerAddress).toList();
+    List<String> databases = fleet.groups().stream().map(group -> group.id().value()).toList();
+    return new WorkloadSettings(
+        scenario, proxies, databases, LocalPlatform.CUSTOMER, "", SESSIONS, duration, PAUSE);
+  }
+}
--- a/lab/src/main/java/org/mimosacleat/lab/demo/FleetPlan.java
+++ b/lab/src/main/java/org/mimosacleat/lab/demo/FleetPlan.java
@@ -47,6 +47,11 @@
     return new FleetPlan(zones, count, groups, instances, endpoints, seed);
   }
 
+  /** Returns this plan with other endpoints. */
+  public FleetPlan withEndpoints(EndpointSettings settings) {
+    return new FleetPlan(zones, proxies, groups, instances, settings, seed);
+  }
+
   /** Returns the availability zone of the VM or endpoint with this number. */
   AvailabilityZone zoneOf(int number) {
     return zones.get(number % zones.size());
--- a/lab/src/main/java/org/mimosacleat/lab/demo/LocalFleet.java
+++ b/lab/src/main/java/org/mimosacleat/lab/demo/LocalFleet.java
@@ -5,6 +5,7 @@
 import java.sql.Connection;
 import java.sql.DriverManager;
 import java.sql.SQLException;
+import java.sql.Statement;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
@@ -78,6 +79,14 @@
     return DriverManager.getConnection(url, properties);
   }
 
+  /** Waits until the group answers a statement through the first proxy. */
+  public void awaitServing(GroupId group) throws SQLException {
+    try (Connection connection = connect(0, group, "start");
+        Statement statement = connection.createStatement()) {
+      statement.execute("SELECT 1");
+    }
+  }
+
   @Override
   public void close() {
     proxies.forEach(ProxyNode::close);
--- /dev/null
+++ b/lab/src/main/java/org/mimosacleat/lab/report/package-info.java
@@ -0,0 +1,2 @@
+/** Reports of measurements as text, JSON and plots. */
+package org.mimosacleat.lab.report;
--- a/proxy/src/main/java/org/mimosacleat/proxy/caller/BatchHandler.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/caller/BatchHandler.java
@@ -107,6 +107,15 @@
               ErrorKind.NOT_SUPPORTED,
               "the statement needs a connection of its own beyond a transaction"));
     }
+    boolean namesTransaction =
+        session.hints().requestId().isPresent()
+            && (plan.kind() == StatementKind.BEGIN || session.status() != TransactionStatus.IDLE);
+    if (namesTransaction) {
+      return Optional.of(
+          new Failure(
+              ErrorKind.NOT_SUPPORTED,
+              "a request id is for one write outside of a transaction block"));
+    }
     if (!session.prepared().hasRoomFor(plan)) {
       return Optional.of(
           new Failure(
@@ -131,6 +140,9 @@
           .getOrElseGet(failure -> FrameWriter.encode(fail(plan, failure)));
     } finally {
       running.set(null);
+      if (plan.kind() == StatementKind.WRITE) {
+        session.setHints(session.hints().withoutRequestId());
+      }
     }
   }
 
--- a/proxy/src/main/java/org/mimosacleat/proxy/dispatch/Dispatcher.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/dispatch/Dispatcher.java
@@ -12,6 +12,10 @@
 import org.mimosacleat.core.error.Failure;
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.core.id.VmId;
+import org.mimosacleat.core.retry.Attempts;
+import org.mimosacleat.core.retry.RetryDecision;
+import org.mimosacleat.core.retry.RetryPolicy;
+import org.mimosacleat.core.statement.StatementKind;
 import org.mimosacleat.proxy.home.Homes;
 import org.mimosacleat.proxy.home.TransactionOwner;
 import org.mimosacleat.proxy.home.WorkTicket;
@@ -22,7 +26,8 @@
 
 /**
  * Sends each batch to the home of its group and waits for the answer. A batch that certainly did
- * not run because its home was not there is sent to the next likely home until its deadline.
+ * not run because its home was not there is sent to the next likely home until its deadline; after
+ * other failures the retry policy decides.
  */
 public final class Dispatcher {
   private static final Duration SHORTEST_PAUSE = Duration.ofMillis(5);
@@ -34,6 +39,7 @@
   private final PeerLinks links;
   private final InstantSource clock;
   private final RandomGenerator random;
+  private final RetryPolicy retries;
   private final ConcurrentHashMap<GroupId, VmId> lastHomes = new ConcurrentHashMap<>();
 
   /** Takes the way to the homes on this proxy and to those on others. */
@@ -43,13 +49,15 @@
       Homes homes,
       PeerLinks links,
       InstantSource clock,
-      RandomGenerator random) {
+      RandomGenerator random,
+      RetryPolicy retries) {
     this.self = self;
     this.locator = locator;
     this.homes = homes;
     this.links = links;
     this.clock = clock;
     this.random = random;
+    this.retries = retries;
   }
 
   /** Runs a batch of an open transaction on the home that has it. */
@@ -66,24 +74,44 @@
       return failure(
           ErrorKind.UNKNOWN_GROUP, "database group '" + request.group() + "' is not known");
     }
-    int attempt = 0;
+    retries.started();
+    Attempts attempts = Attempts.none(isRepeatable(request), deadline);
+    int homesTried = 0;
     while (true) {
-      VmId home = choose(request.group(), likely, attempt);
+      VmId home = choose(request.group(), likely, homesTried);
       Either<Failure, WorkAnswer> answer =
           runAt(home, request.withTimeLeft(timeLeft(deadline)), ticket);
-      if (answer.isRight() || !isHomeMissing(answer.getLeft())) {
+      if (answer.isRight()) {
         lastHomes.put(request.group(), home);
         return answer;
       }
       lastHomes.remove(request.group(), home);
-      attempt++;
-      if (ticket.isCancelled() || !pause(deadline)) {
-        return answer;
+      homesTried++;
+      Failure failure = answer.getLeft();
+      boolean again;
+      if (isHomeMissing(failure)) {
+        again = pause(betweenHomes(), deadline);
+      } else {
+        attempts = attempts.with(failure, true);
+        RetryDecision decision = retries.decide(attempts, failure);
+        if (decision instanceof RetryDecision.GiveUp(Failure known)) {
+          return Either.left(known);
+        }
+        again = pause(((RetryDecision.RetryAfter) decision).delay(), deadline);
+      }
+      if (ticket.isCancelled() || !again) {
+        return Either.left(attempts.undecided().orElse(failure));
       }
       likely = locator.likelyHomes(request.group());
     }
   }
 
+  /** A read, or work whose request id keeps it from running twice. */
+  private static boolean isRepeatable(WorkRequest request) {
+    boolean idempotent = request.kind() == StatementKind.READ || request.requestId().isPresent();
+    return idempotent && request.repeatable();
+  }
+
   /** Rolls back an open transaction whose caller has left. */
   public void abandon(VmId home, long transaction, TransactionOwner owner) {
     if (home.equals(self)) {
@@ -121,9 +149,11 @@
     return failure.kind() == ErrorKind.NOT_HOME || failure.kind() == ErrorKind.UNAVAILABLE;
   }
 
-  private boolean pause(Instant deadline) {
-    long nanoseconds = random.nextLong(SHORTEST_PAUSE.toNanos(), LONGEST_PAUSE.toNanos());
-    Duration pause = Duration.ofNanos(nanoseconds);
+  private Duration betweenHomes() {
+    return Duration.ofNanos(random.nextLong(SHORTEST_PAUSE.toNanos(), LONGEST_PAUSE.toNanos()));
+  }
+
+  private boolean pause(Duration pause, Instant deadline) {
     if (clock.instant().plus(pause).isAfter(deadline)) {
       return false;
     }
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/BatchRunner.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/BatchRunner.java
@@ -31,9 +31,11 @@
   private static final Duration CANCEL_TIMEOUT = Duration.ofSeconds(1);
 
   private final InstantSource clock;
+  private final RecordedRequests recorded;
 
   BatchRunner(InstantSource clock) {
     this.clock = clock;
+    this.recorded = new RecordedRequests(clock);
   }
 
   /**
@@ -47,6 +49,13 @@
     if (unprepared.isPresent()) {
       return Either.left(unprepared.get());
     }
+    boolean isRecorded =
+        request.requestId().isPresent()
+            && !request.isInTransaction()
+            && request.kind() == StatementKind.WRITE;
+    if (isRecorded) {
+      return recorded.run(connection, request, deadline);
+    }
     boolean askPosition = onPrimary && mayCommit(request.kind());
     try {
       connection.send(askPosition ? withQuestion(request.frames()) : request.frames());
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/SlottedRunner.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/SlottedRunner.java
@@ -11,7 +11,10 @@
 import org.mimosacleat.proxy.endpoint.EndpointConnection;
 import org.mimosacleat.wire.peer.WorkRequest;
 
-/** Runs a batch on a connection once a slot of the endpoint is free for it. */
+/**
+ * Runs a batch on a connection once a slot of the endpoint is free for it. A batch of an open
+ * transaction waits for none: statements that wait for its locks may hold all of them.
+ */
 final class SlottedRunner {
   private final StatementSlots slots;
   private final Admission admission;
@@ -35,24 +38,31 @@
    */
   SlottedResult run(
       Attempt attempt, EndpointId endpoint, boolean onPrimary, ConnectionSource source) {
+    if (attempt.request().isInTransaction()) {
+      return connectAndRun(attempt, onPrimary, source);
+    }
     Either<Failure, Ticket> slot = slots.acquire(work(attempt, endpoint));
     if (slot.isLeft()) {
       return SlottedResult.notSent(slot.getLeft());
     }
     boolean hasAnswer = false;
     try {
-      Either<Failure, EndpointConnection> connection = source.connect();
-      if (connection.isLeft()) {
-        return SlottedResult.notSent(connection.getLeft());
-      }
-      Either<Failure, BatchResult> result = runOn(connection.get(), attempt, onPrimary);
-      hasAnswer = result.isRight();
-      return SlottedResult.sent(connection.get(), result);
+      SlottedResult result = connectAndRun(attempt, onPrimary, source);
+      hasAnswer = result.result().isRight();
+      return result;
     } finally {
       slots.release(slot.get(), endpoint, hasAnswer);
     }
   }
 
+  private SlottedResult connectAndRun(Attempt attempt, boolean onPrimary, ConnectionSource source) {
+    Either<Failure, EndpointConnection> connection = source.connect();
+    if (connection.isLeft()) {
+      return SlottedResult.notSent(connection.getLeft());
+    }
+    return SlottedResult.sent(connection.get(), runOn(connection.get(), attempt, onPrimary));
+  }
+
   private Either<Failure, BatchResult> runOn(
       EndpointConnection connection, Attempt attempt, boolean onPrimary) {
     attempt.ticket().runsOn(connection);
@@ -71,6 +81,6 @@
         new Fingerprint(request.fingerprint()),
         Set.of(endpoint),
         attempt.deadline(),
-        request.isInTransaction());
+        false);
   }
 }
--- a/proxy/src/main/java/org/mimosacleat/proxy/node/ProxyNode.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/node/ProxyNode.java
@@ -13,6 +13,8 @@
 import java.util.concurrent.Executors;
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.core.id.VmId;
+import org.mimosacleat.core.retry.BudgetedRetryPolicy;
+import org.mimosacleat.core.retry.RetrySettings;
 import org.mimosacleat.core.time.MonotonicClock;
 import org.mimosacleat.platform.lists.ListFetcher;
 import org.mimosacleat.proxy.caller.CallerListener;
@@ -120,7 +122,14 @@
     this.callers =
         new CallerListener(
             settings.listen().callers(),
-            new Dispatcher(self, fleet, homes, links, clock, random),
+            new Dispatcher(
+                self,
+                fleet,
+                homes,
+                links,
+                clock,
+                random,
+                new BudgetedRetryPolicy(clock, random, RetrySettings.DEFAULT)),
             settings.limits(),
             settings.authentication(),
             lists,
