Record request ids under one key

Cause: charges with a request id all ended as unknown in the demo, since the stand-in knows neither composite keys nor column defaults, and a home cannot rely on an operator to make the table.

--- a/core/src/main/java/org/mimosacleat/core/idempotency/RecordStatement.java
+++ b/core/src/main/java/org/mimosacleat/core/idempotency/RecordStatement.java
@@ -1,28 +1,28 @@
 package org.mimosacleat.core.idempotency;
 
+import org.mimosacleat.core.id.CustomerId;
+import org.mimosacleat.core.id.RequestId;
+
 /** The statements by which request ids are recorded, with numbered parameters. */
 public enum RecordStatement {
-  /** Makes the table; run by the operator once for each database. */
+  /** Makes the table; a home runs it where the table is missing. */
   CREATE_TABLE(
-      "CREATE TABLE IF NOT EXISTS mimosacleat_request (customer text NOT NULL,"
-          + " request_id text NOT NULL, work text NOT NULL, answer text,"
-          + " recorded_at timestamptz NOT NULL DEFAULT now(),"
-          + " PRIMARY KEY (customer, request_id))",
+      "CREATE TABLE IF NOT EXISTS mimosacleat_request (request_key text PRIMARY KEY,"
+          + " work text NOT NULL, answer text, recorded_at bigint NOT NULL)",
       0),
   /** Bounds the wait for another transaction with the same id; first of each transaction. */
   LIMIT_WAIT("SET LOCAL lock_timeout = '1s'", 0),
-  /** Records the id: customer, request id, work. One row says that it is new. */
+  /** Records the id: key, work, the time in seconds since 1970. */
   INSERT(
-      "INSERT INTO mimosacleat_request (customer, request_id, work) VALUES ($1, $2, $3)"
+      "INSERT INTO mimosacleat_request (request_key, work, recorded_at) VALUES ($1, $2, $3)"
           + " ON CONFLICT DO NOTHING",
       3),
-  /** Reads the record of an id that was not new: customer, request id. */
-  SELECT("SELECT work, answer FROM mimosacleat_request WHERE customer = $1 AND request_id = $2", 2),
-  /** Records the answer, last before the commit: customer, request id, answer. */
-  RECORD_ANSWER(
-      "UPDATE mimosacleat_request SET answer = $3 WHERE customer = $1 AND request_id = $2", 3),
-  /** Drops old records: the age in seconds. */
-  EXPIRE("DELETE FROM mimosacleat_request WHERE recorded_at < now() - $1 * interval '1 second'", 1);
+  /** Reads the record of an id: key. */
+  SELECT("SELECT work, answer FROM mimosacleat_request WHERE request_key = $1", 1),
+  /** Records the answer, last before the commit: key, answer. */
+  RECORD_ANSWER("UPDATE mimosacleat_request SET answer = $2 WHERE request_key = $1", 2),
+  /** Drops old records: the latest time that is dropped, in seconds since 1970. */
+  EXPIRE("DELETE FROM mimosacleat_request WHERE recorded_at <= $1", 1);
 
   private final String sql;
   private final int parameters;
@@ -41,4 +41,9 @@
   public int parameters() {
     return parameters;
   }
+
+  /** Returns the key of a request id; ids of different customers never have the same. */
+  public static String key(CustomerId customer, RequestId request) {
+    return customer.value().length() + ":" + customer + ":" + request;
+  }
 }
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/RecordedRequests.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/RecordedRequests.java
@@ -102,16 +102,18 @@
   private RecordLookup insert(
       EndpointConnection connection, WorkRequest request, RequestId id, Instant deadline)
       throws IOException {
-    String customer = request.customer().value();
+    String key = RecordStatement.key(request.customer(), id);
     connection.query("BEGIN", left(deadline));
     connection.query(RecordStatement.LIMIT_WAIT.sql(), left(deadline));
     connection.query(
         SqlLiterals.fill(
-            RecordStatement.INSERT, customer, id.value(), fingerprint(request).value()),
+            RecordStatement.INSERT,
+            key,
+            fingerprint(request).value(),
+            Long.toString(clock.instant().getEpochSecond())),
         left(deadline));
     QueryResult row =
-        connection.query(
-            SqlLiterals.fill(RecordStatement.SELECT, customer, id.value()), left(deadline));
+        connection.query(SqlLiterals.fill(RecordStatement.SELECT, key), left(deadline));
     // A committed record always has its answer, so one without is the one just inserted.
     return row.first(ANSWER).isEmpty()
         ? new RecordLookup.Inserted()
@@ -140,8 +142,7 @@
     connection.query(
         SqlLiterals.fill(
             RecordStatement.RECORD_ANSWER,
-            request.customer().value(),
-            id.value(),
+            RecordStatement.key(request.customer(), id),
             Base64.getEncoder().encodeToString(frames)),
         left(deadline));
     connection.query("COMMIT", left(deadline));
