Let every group serve again once its faults have ended

Cause: the fuzz checked safety only. A fenced former primary with the most advanced log cannot be promoted while it still runs as a primary, so each new term chose it and failed again; leaving endpoints, with none that stays, replaced each other for ever. Change: such a primary is made a replica first; a leaving primary is replaced only if an endpoint that stays answers; the group's row is sought for as long as the home holds; peers that have not proved themselves may send 1 KB at most. Ruled out: passing over the former primary, since it may be the only one with an acknowledged write.

--- a/core/src/main/java/org/mimosacleat/core/promotion/FencingPromotionMachine.java
+++ b/core/src/main/java/org/mimosacleat/core/promotion/FencingPromotionMachine.java
@@ -254,11 +254,18 @@
     watch.listedAsLeaving(endpoint);
     boolean watching =
         phase instanceof PromotionPhase.Watching || phase instanceof PromotionPhase.Suspecting;
-    if (watching && endpoint.equals(reign.primary()) && reign.members().size() > 1) {
+    if (watching && endpoint.equals(reign.primary()) && hasSuccessor()) {
       startPromotion("the primary " + endpoint + " is leaving");
     }
   }
 
+  /** Without one that stays and answers, leaving endpoints would replace each other for ever. */
+  private boolean hasSuccessor() {
+    return reign.members().stream()
+        .filter(member -> !watch.leaving().contains(member))
+        .anyMatch(member -> watch.missed(member) == 0);
+  }
+
   private void startPromotion(String reason) {
     announced = false;
     actions.add(new PromotionAction.Withdraw(reign.term()));
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/EndpointAdministrator.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/EndpointAdministrator.java
@@ -74,6 +74,9 @@
   /** Promotes the endpoint and waits until it runs as a primary. */
   PromotionInput.PromoteAnswered promote(FencingToken token) throws IOException {
     try (EndpointConnection connection = open(token)) {
+      if (status(connection).isPrimary()) {
+        demote(connection);
+      }
       connection.query(EndpointStatements.PROMOTE, timeout);
       Instant end = clock.instant().plus(timeout);
       while (clock.instant().isBefore(end)) {
@@ -90,12 +93,25 @@
     }
   }
 
+  /**
+   * Makes a replaced primary a replica, so that it can start a term of its own: it may hold the
+   * most advanced log. It is told to receive from itself, that is from nobody.
+   */
+  private void demote(EndpointConnection connection) throws IOException {
+    receiveFrom(connection, address);
+  }
+
+  private void receiveFrom(EndpointConnection connection, EndpointAddress source)
+      throws IOException {
+    String host = source.address().getAddress().getHostAddress();
+    connection.query(EndpointStatements.receiveFrom(host, source.address().getPort()), timeout);
+    connection.query(EndpointStatements.RELOAD, timeout);
+  }
+
   /** Makes the endpoint follow another. */
   void follow(EndpointAddress primary, FencingToken token) throws IOException {
     try (EndpointConnection connection = open(token)) {
-      String host = primary.address().getAddress().getHostAddress();
-      connection.query(EndpointStatements.receiveFrom(host, primary.address().getPort()), timeout);
-      connection.query(EndpointStatements.RELOAD, timeout);
+      receiveFrom(connection, primary);
     }
   }
 
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/PromotionDriver.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/PromotionDriver.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.time.Duration;
 import java.util.Optional;
 import org.mimosacleat.core.acknowledgement.LeaseStatus;
 import org.mimosacleat.core.error.Failure;
@@ -16,6 +17,7 @@
 import org.mimosacleat.core.promotion.PromotionInput;
 import org.mimosacleat.core.promotion.PromotionMachine;
 import org.mimosacleat.core.promotion.PromotionSettings;
+import org.mimosacleat.core.time.Sleeper;
 import org.mimosacleat.platform.table.WriteResult;
 import org.mimosacleat.proxy.concurrent.Mailbox;
 import org.mimosacleat.proxy.store.GroupRowStore;
@@ -25,6 +27,8 @@
  * Feeds the promotion machine of a group and carries out its actions. Use it from the mailbox only.
  */
 final class PromotionDriver {
+  private static final Duration FIND_INTERVAL = Duration.ofMillis(200);
+
   private final GroupId group;
   private final HomeContext context;
   private final GroupParts parts;
@@ -64,7 +68,19 @@
 
   /** Starts to serve as the home: finds the group's row and takes it over. */
   void leaseGained() {
-    inBackground(() -> finder.find().ifPresent(row -> post(new PromotionInput.LeaseGained(row))));
+    inBackground(this::findRow);
+  }
+
+  /** Too few endpoints may answer at first, so it asks for as long as this VM is the home. */
+  private void findRow() {
+    while (lease.rights().isHome(context.clock().instant())) {
+      Optional<GroupRow> row = finder.find();
+      if (row.isPresent()) {
+        post(new PromotionInput.LeaseGained(row.get()));
+        return;
+      }
+      Sleeper.SYSTEM.sleep(FIND_INTERVAL);
+    }
   }
 
   private void carryOut(PromotionAction action) {
--- a/proxy/src/main/java/org/mimosacleat/proxy/peer/PeerListener.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/peer/PeerListener.java
@@ -1,5 +1,6 @@
 package org.mimosacleat.proxy.peer;
 
+import java.io.EOFException;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -85,7 +86,8 @@
         sessions.remove(session);
       }
     } catch (IOException ended) {
-      Logger.info("peer at {}: {}", socket.getRemoteSocketAddress(), ended.getMessage());
+      String reason = ended instanceof EOFException ? "closed the connection" : ended.getMessage();
+      Logger.info("peer at {}: {}", socket.getRemoteSocketAddress(), reason);
     }
   }
 }
--- a/wire/src/main/java/org/mimosacleat/wire/peer/PeerAuthenticator.java
+++ b/wire/src/main/java/org/mimosacleat/wire/peer/PeerAuthenticator.java
@@ -62,6 +62,7 @@
       throw new PeerProtocolException(
           "peer handshake: " + theirs.sender() + " does not hold the shared key");
     }
+    channel.trustPeer();
     return theirs.sender();
   }
 
--- a/wire/src/main/java/org/mimosacleat/wire/peer/PeerChannel.java
+++ b/wire/src/main/java/org/mimosacleat/wire/peer/PeerChannel.java
@@ -16,9 +16,13 @@
 public final class PeerChannel {
   private static final int BUFFER_BYTES = 16 * 1024;
 
+  /** The largest message that is read of a peer that has not proved itself, in bytes. */
+  private static final int HANDSHAKE_BYTES = 1024;
+
   private final DataInputStream input;
   private final OutputStream output;
   private final int maximumMessageBytes;
+  private volatile int readLimit = HANDSHAKE_BYTES;
   private final ReentrantLock writing = new ReentrantLock();
 
   /** Takes the two streams of a connection; neither should buffer. */
@@ -47,12 +51,17 @@
     }
   }
 
+  /** Accepts messages of full size from now on, since the peer has proved itself. */
+  void trustPeer() {
+    readLimit = maximumMessageBytes;
+  }
+
   /** Reads the next message and waits for it. */
   public PeerMessage read() throws IOException {
     int length = input.readInt();
-    if (length < 1 || length > maximumMessageBytes) {
+    if (length < 1 || length > readLimit) {
       throw new PeerProtocolException(
-          "peer message: length " + length + " is not within 1 to " + maximumMessageBytes);
+          "peer message: length " + length + " is not within 1 to " + readLimit);
     }
     byte[] body = new byte[length];
     input.readFully(body);
