--- a/lab/src/main/java/org/mimosacleat/lab/command/LabCommand.java
+++ b/lab/src/main/java/org/mimosacleat/lab/command/LabCommand.java
@@ -11,7 +11,13 @@
     description = "Demonstrations and measurements on stand-ins.",
     mixinStandardHelpOptions = true,
     version = "mimosacleat 0.1.0",
-    subcommands = {DemoCommand.class, MeasureCommand.class, LoopbackCommand.class})
+    subcommands = {
+      DemoCommand.class,
+      MeasureCommand.class,
+      LoopbackCommand.class,
+      CapacityCommand.class,
+      StandinCommand.class
+    })
 public final class LabCommand implements Runnable {
   @Spec private CommandSpec specification;
 
@@ -19,6 +25,7 @@
   @Override
   public void run() {
     throw new ParameterException(
-        specification.commandLine(), "a subcommand is missing: demo, measure or loopback");
+        specification.commandLine(),
+        "a subcommand is missing: demo, measure, loopback, capacity or standin");
   }
 }
--- a/lab/src/main/java/org/mimosacleat/lab/demo/LocalPlatform.java
+++ b/lab/src/main/java/org/mimosacleat/lab/demo/LocalPlatform.java
@@ -28,7 +28,7 @@
   public static final String CUSTOMER = "members";
 
   private static final Duration TIMEOUT = Duration.ofSeconds(5);
-  private static final String ALLOWANCES =
+  static final String ALLOWANCES =
       """
       [plan standard]
       connections = 100
@@ -37,7 +37,7 @@
       guaranteed-share = 50
       request-deadline = 30s
       """;
-  private static final String PLANS =
+  static final String PLANS =
       """
       [customer members]
       plan = standard
--- /dev/null
+++ b/lab/src/main/java/org/mimosacleat/lab/demo/StandinHost.java
@@ -0,0 +1,104 @@
+package org.mimosacleat.lab.demo;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.mimosacleat.core.id.GroupId;
+import org.mimosacleat.core.lists.ListKind;
+import org.mimosacleat.core.lists.ListVersion;
+import org.mimosacleat.core.store.StoreGate;
+import org.mimosacleat.core.store.StoreLimits;
+import org.mimosacleat.core.time.MonotonicClock;
+import org.mimosacleat.core.time.Sleeper;
+import org.mimosacleat.platform.aws.AwsPlatform;
+import org.mimosacleat.platform.lists.ListEdit;
+import org.mimosacleat.platform.lists.ListPublisher;
+import org.mimosacleat.platform.store.StorePacer;
+import org.mimosacleat.standin.endpoint.GroupStandin;
+import org.mimosacleat.standin.platform.PlatformStandin;
+import org.mimosacleat.wire.postgres.authentication.ScramVerifier;
+
+/**
+ * The outside systems of a small deployment, for proxies that run as processes of their own: the
+ * platform over HTTP, one group, both lists, and a settings file for each proxy.
+ */
+public final class StandinHost implements AutoCloseable {
+  /** The customer that the lists name. */
+  public static final String CUSTOMER = "members";
+
+  /** Its password. */
+  public static final String PASSWORD = "local password";
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(10);
+  private static final double UNLIMITED_REQUESTS_PER_SECOND = 1_000;
+  private static final GroupId GROUP = new GroupId("lending-1");
+
+  private final PlatformStandin platform;
+  private final GroupStandin group;
+
+  private StandinHost(PlatformStandin platform, GroupStandin group) {
+    this.platform = platform;
+    this.group = group;
+  }
+
+  /** Starts everything, and writes {@code vm-N.ini} for each proxy into {@code folder}. */
+  public static StandinHost start(Path folder, int proxies) throws IOException {
+    FleetPlan plan = FleetPlan.small(GROUP.value());
+    InstantSource clock = new MonotonicClock();
+    PlatformStandin platform = PlatformStandin.start(InetAddress.getLoopbackAddress());
+    GroupStandin group =
+        new GroupStandin(
+            GROUP, plan.zones(), plan.endpoints(), clock, new SplittableRandom(plan.seed()));
+    group.start();
+    publishLists(platform, clock);
+    SettingsText settings =
+        new SettingsText(
+            plan.zones(),
+            FreePorts.find(proxies * FleetSettings.PORTS_PER_PROXY),
+            platform.settings(),
+            List.of(group));
+    Files.createDirectories(folder);
+    for (int number = 0; number < proxies; number++) {
+      Files.writeString(folder.resolve("vm-" + (number + 1) + ".ini"), settings.ofProxy(number));
+    }
+    return new StandinHost(platform, group);
+  }
+
+  @Override
+  public void close() {
+    group.close();
+    platform.close();
+  }
+
+  private static void publishLists(PlatformStandin platform, InstantSource clock) {
+    try (AwsPlatform client =
+        new AwsPlatform(platform.settings(), pacer(clock), pacer(clock), clock)) {
+      ListPublisher publisher =
+          new ListPublisher(client.table(), client.objects(), clock, new SecureRandom());
+      publish(publisher, ListKind.ALLOWANCES, LocalPlatform.ALLOWANCES);
+      publish(publisher, ListKind.PLANS, LocalPlatform.PLANS + "scram-verifier = " + verifier());
+    }
+  }
+
+  private static void publish(ListPublisher publisher, ListKind kind, String text) {
+    publisher.publish(
+        new ListEdit(kind, new ListVersion(0), "local operator", "", text + "\n"), TIMEOUT);
+  }
+
+  private static String verifier() {
+    return ScramVerifier.of(
+            PASSWORD.toCharArray(), ScramVerifier.DEFAULT_ITERATIONS, new SecureRandom())
+        .encode();
+  }
+
+  private static StorePacer pacer(InstantSource clock) {
+    StoreLimits limits = StoreLimits.forFleet(1, UNLIMITED_REQUESTS_PER_SECOND);
+    return new StorePacer(new StoreGate(limits, clock, new SecureRandom()), clock, Sleeper.SYSTEM);
+  }
+}
--- a/lab/src/main/java/org/mimosacleat/lab/measure/Experiments.java
+++ b/lab/src/main/java/org/mimosacleat/lab/measure/Experiments.java
@@ -1,21 +1,37 @@
 package org.mimosacleat.lab.measure;
 
 import java.util.List;
+import org.mimosacleat.lab.measure.consistency.ReplicaReadsExperiment;
+import org.mimosacleat.lab.measure.credit.CreditExperiment;
+import org.mimosacleat.lab.measure.failover.FailoverExperiment;
+import org.mimosacleat.lab.measure.fleet.HomeLossExperiment;
+import org.mimosacleat.lab.measure.fleet.ListSpreadExperiment;
+import org.mimosacleat.lab.measure.fleet.PlacementExperiment;
+import org.mimosacleat.lab.measure.fleet.StoreReturnExperiment;
+import org.mimosacleat.lab.measure.lists.ListRaceExperiment;
 import org.mimosacleat.lab.measure.load.ConnectionsExperiment;
 import org.mimosacleat.lab.measure.load.CrestExperiment;
 import org.mimosacleat.lab.measure.load.RoamingExperiment;
 import org.mimosacleat.lab.measure.load.ShortBeforeLongExperiment;
 
-/** All experiments of the measure command. */
+/** All experiments of the measure command: the four measures of the users first. */
 public final class Experiments {
   private Experiments() {}
 
   /** Returns them in the order in which they are printed. */
   public static List<Experiment> all() {
     return List.of(
-        new ShortBeforeLongExperiment(),
+        new ReplicaReadsExperiment(),
+        new FailoverExperiment(),
         new CrestExperiment(),
+        new ShortBeforeLongExperiment(),
         new RoamingExperiment(),
-        new ConnectionsExperiment());
+        new ConnectionsExperiment(),
+        new CreditExperiment(),
+        new PlacementExperiment(),
+        new HomeLossExperiment(),
+        new ListRaceExperiment(),
+        new ListSpreadExperiment(),
+        new StoreReturnExperiment());
   }
 }
