--- a/proxy/src/main/java/org/mimosacleat/proxy/caller/ScramAuthenticator.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/caller/ScramAuthenticator.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.security.SecureRandom;
+import java.time.Duration;
 import java.util.Optional;
 import org.mimosacleat.core.error.ErrorKind;
 import org.mimosacleat.core.error.Failure;
@@ -22,6 +23,9 @@
 final class ScramAuthenticator implements CallerAuthenticator {
   private static final int SECRET_BYTES = 32;
 
+  /** How long the first clients of a proxy that has just started wait for the lists. */
+  private static final Duration START_TIMEOUT = Duration.ofSeconds(5);
+
   private final CustomerDirectory customers;
   private final SecureRandom random;
   private final byte[] mockSecret = new byte[SECRET_BYTES];
@@ -35,7 +39,7 @@
   @Override
   public Either<Failure, CustomerId> authenticate(
       String user, FrameReader reader, FrameWriter writer) throws IOException {
-    if (!customers.isReady()) {
+    if (!customers.awaitReady(START_TIMEOUT)) {
       return Either.left(
           new Failure(ErrorKind.UNAVAILABLE, "this proxy has not read the list of customers yet"));
     }
--- a/proxy/src/main/java/org/mimosacleat/proxy/fleet/ListKeeper.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/fleet/ListKeeper.java
@@ -6,7 +6,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.mimosacleat.core.id.CustomerId;
 import org.mimosacleat.core.id.VmId;
@@ -35,6 +37,7 @@
   private static final Duration STORE_TIMEOUT = Duration.ofSeconds(2);
 
   private final ListRegistry registry = new ListRegistry();
+  private final CountDownLatch ready = new CountDownLatch(1);
   private final SpreadMachine machine;
   private final LiveFleet fleet;
   private final FleetSender sender;
@@ -70,9 +73,19 @@
     return registry.inForce();
   }
 
-  @Override
+  /** Tells whether the lists have been asked for widely enough to refuse a customer by them. */
   public boolean isReady() {
-    return machine.isReady() && !registry.inForce().customers().isEmpty();
+    return ready.getCount() == 0;
+  }
+
+  @Override
+  public boolean awaitReady(Duration timeout) {
+    try {
+      return ready.await(timeout.toNanos(), TimeUnit.NANOSECONDS);
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
   }
 
   @Override
@@ -94,6 +107,9 @@
     List<VmId> peers = fleet.all().stream().filter(vm -> !vm.equals(self)).toList();
     step(new SpreadInput.Peers(peers));
     step(new SpreadInput.Tick());
+    if (machine.isReady() && !registry.inForce().customers().isEmpty()) {
+      ready.countDown();
+    }
   }
 
   private void step(SpreadInput input) {
