--- a/proxy/src/main/java/org/mimosacleat/proxy/caller/BatchHandler.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/caller/BatchHandler.java
@@ -2,6 +2,8 @@
 
 import io.vavr.control.Either;
 import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -12,6 +14,7 @@
 import org.mimosacleat.core.statement.StatementKind;
 import org.mimosacleat.proxy.dispatch.CallerTicket;
 import org.mimosacleat.proxy.dispatch.Dispatcher;
+import org.mimosacleat.proxy.operations.BatchMetrics;
 import org.mimosacleat.wire.peer.WorkAnswer;
 import org.mimosacleat.wire.peer.WorkRequest;
 import org.mimosacleat.wire.postgres.Frame;
@@ -26,9 +29,18 @@
   private final CallerSession session;
   private final Dispatcher dispatcher;
   private final Duration requestTimeout;
+  private final BatchMetrics metrics;
+  private final InstantSource clock;
   private final AtomicReference<CallerTicket> running = new AtomicReference<>();
 
-  BatchHandler(CallerSession session, Dispatcher dispatcher, Duration requestTimeout) {
+  BatchHandler(
+      CallerSession session,
+      Dispatcher dispatcher,
+      Duration requestTimeout,
+      BatchMetrics metrics,
+      InstantSource clock) {
+    this.metrics = metrics;
+    this.clock = clock;
     this.session = session;
     this.dispatcher = dispatcher;
     this.requestTimeout = requestTimeout;
@@ -135,7 +147,10 @@
     CallerTicket ticket = new CallerTicket(session.owner());
     running.set(ticket);
     try {
+      Instant start = clock.instant();
       return run(request(plan), ticket)
+          .peek(answer -> metrics.answered(Duration.between(start, clock.instant())))
+          .peekLeft(failure -> metrics.failed(failure.kind()))
           .map(answer -> accept(plan, ticket.home(), answer))
           .getOrElseGet(failure -> FrameWriter.encode(fail(plan, failure)));
     } finally {
--- a/proxy/src/main/java/org/mimosacleat/proxy/caller/CallerConnection.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/caller/CallerConnection.java
@@ -144,7 +144,12 @@
 
   private void serve(CallerSession session) throws IOException {
     BatchHandler handler =
-        new BatchHandler(session, context.dispatcher(), context.limits().requestTimeout());
+        new BatchHandler(
+            session,
+            context.dispatcher(),
+            context.limits().requestTimeout(),
+            context.metrics(),
+            context.clock());
     CancelTarget key = context.cancels().register(handler::cancel);
     try {
       writer.write(greeting(key));
--- a/proxy/src/main/java/org/mimosacleat/proxy/caller/CallerContext.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/caller/CallerContext.java
@@ -1,8 +1,10 @@
 package org.mimosacleat.proxy.caller;
 
+import java.time.InstantSource;
 import java.util.Set;
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.proxy.dispatch.Dispatcher;
+import org.mimosacleat.proxy.operations.BatchMetrics;
 import org.mimosacleat.proxy.settings.LimitSettings;
 
 /**
@@ -12,6 +14,8 @@
  * @param limits limits on one connection
  * @param authenticator finds out who a client is
  * @param cancels finds the target of a cancel request
+ * @param metrics counts batches
+ * @param clock times them
  * @param groups the database groups that clients may name
  */
 record CallerContext(
@@ -19,6 +23,8 @@
     LimitSettings limits,
     CallerAuthenticator authenticator,
     CancelRegistry cancels,
+    BatchMetrics metrics,
+    InstantSource clock,
     Set<GroupId> groups) {
   CallerContext {
     groups = Set.copyOf(groups);
--- a/proxy/src/main/java/org/mimosacleat/proxy/caller/CallerListener.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/caller/CallerListener.java
@@ -5,11 +5,13 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.security.SecureRandom;
+import java.time.InstantSource;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.proxy.dispatch.Dispatcher;
+import org.mimosacleat.proxy.operations.BatchMetrics;
 import org.mimosacleat.proxy.settings.AuthenticationMode;
 import org.mimosacleat.proxy.settings.LimitSettings;
 import org.tinylog.Logger;
@@ -33,6 +35,8 @@
       LimitSettings limits,
       AuthenticationMode authentication,
       CustomerDirectory customers,
+      BatchMetrics metrics,
+      InstantSource clock,
       Set<GroupId> groups,
       ExecutorService executor,
       SecureRandom random)
@@ -46,6 +50,8 @@
             limits,
             authenticator(authentication, customers, random),
             new CancelRegistry(random),
+            metrics,
+            clock,
             groups);
     this.executor = executor;
   }
--- a/proxy/src/main/java/org/mimosacleat/proxy/fleet/ListKeeper.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/fleet/ListKeeper.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -25,6 +26,7 @@
 import org.mimosacleat.core.spread.SpreadMachine;
 import org.mimosacleat.core.spread.SpreadMessage;
 import org.mimosacleat.core.spread.SpreadTimes;
+import org.mimosacleat.core.status.ListStatus;
 import org.mimosacleat.platform.lists.ListFetcher;
 import org.mimosacleat.proxy.caller.CustomerDirectory;
 import org.mimosacleat.proxy.concurrent.Mailbox;
@@ -37,6 +39,8 @@
   private static final Duration STORE_TIMEOUT = Duration.ofSeconds(2);
 
   private final ListRegistry registry = new ListRegistry();
+  private final Map<ListKind, ListStatus> adoptions = new ConcurrentHashMap<>();
+  private final InstantSource clock;
   private final CountDownLatch ready = new CountDownLatch(1);
   private final SpreadMachine machine;
   private final LiveFleet fleet;
@@ -60,6 +64,7 @@
     this.sender = sender;
     this.fetcher = fetcher;
     this.executor = executor;
+    this.clock = clock;
     this.machine = new SpreadMachine(self, clock, random, SpreadTimes.STANDARD);
   }
 
@@ -68,6 +73,11 @@
     mailbox.start(executor);
   }
 
+  /** Returns which version of each list is in force, and where it came from. */
+  public List<ListStatus> status() {
+    return List.copyOf(adoptions.values());
+  }
+
   /** Returns the lists in force now. */
   public ListsInForce inForce() {
     return registry.inForce();
@@ -157,8 +167,14 @@
 
   private void apply(SpreadAction.Apply apply) {
     switch (registry.offer(apply.list())) {
-      case Adoption.Adopted adopted ->
-          Logger.info("{} ({})", adopted.explanation(), apply.explanation());
+      case Adoption.Adopted adopted -> {
+        Logger.info("{} ({})", adopted.explanation(), apply.explanation());
+        PublishedList list = adopted.list();
+        adoptions.put(
+            list.kind(),
+            new ListStatus(
+                list.kind(), list.version(), list.editor(), clock.instant(), apply.explanation()));
+      }
       case Adoption.Refused refused ->
           Logger.error(
               "{} version {} is not usable here: {}",
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/DecisionJournal.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/DecisionJournal.java
@@ -1,39 +1,31 @@
 package org.mimosacleat.proxy.home;
 
 import java.time.InstantSource;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.List;
 import org.mimosacleat.core.id.GroupId;
+import org.mimosacleat.core.status.DecisionLog;
+import org.mimosacleat.core.status.DecisionNote;
 import org.tinylog.Logger;
 
 /** Logs the decisions of homes in words, and keeps the last ones for the status page. */
 public final class DecisionJournal {
   private static final int MAXIMUM_KEPT = 100;
 
-  private final InstantSource clock;
-  private final Deque<String> kept = new ArrayDeque<>();
+  private final DecisionLog kept;
 
   /** Takes the clock that dates the entries. */
   public DecisionJournal(InstantSource clock) {
-    this.clock = clock;
+    this.kept = new DecisionLog(clock, MAXIMUM_KEPT);
   }
 
   /** Adds an entry. */
   public void add(GroupId group, String explanation) {
     Logger.info("{}: {}", group, explanation);
-    synchronized (kept) {
-      if (kept.size() == MAXIMUM_KEPT) {
-        kept.removeFirst();
-      }
-      kept.addLast(clock.instant() + " " + group + ": " + explanation);
-    }
+    kept.record(group.value(), explanation);
   }
 
-  /** Returns the last entries, oldest first. */
-  public List<String> last() {
-    synchronized (kept) {
-      return List.copyOf(kept);
-    }
+  /** Returns the last entries, newest first. */
+  public List<DecisionNote> last() {
+    return kept.latest();
   }
 }
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/GroupAgent.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/GroupAgent.java
@@ -15,6 +15,7 @@
 import org.mimosacleat.core.drain.EndpointDrainInput;
 import org.mimosacleat.core.error.ErrorKind;
 import org.mimosacleat.core.error.Failure;
+import org.mimosacleat.core.group.GroupSnapshot;
 import org.mimosacleat.core.id.EndpointId;
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.core.id.VmId;
@@ -28,6 +29,7 @@
 import org.mimosacleat.core.placement.HomePolicy;
 import org.mimosacleat.core.placement.PlacementTable;
 import org.mimosacleat.core.promotion.PromotionInput;
+import org.mimosacleat.core.status.GroupStatus;
 import org.mimosacleat.proxy.concurrent.Mailbox;
 import org.mimosacleat.wire.fleet.HomeMessage;
 import org.mimosacleat.wire.peer.WorkAnswer;
@@ -105,6 +107,12 @@
     return parts;
   }
 
+  GroupStatus status() {
+    GroupSnapshot snapshot = parts.state().snapshot();
+    return new GroupStatus(
+        group, snapshot.term(), snapshot.primary(), candidates(), lease.rights().token().number());
+  }
+
   LeaseRights rights() {
     return lease.rights();
   }
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/Homes.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/Homes.java
@@ -12,6 +12,7 @@
 import org.mimosacleat.core.id.EndpointId;
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.core.id.VmId;
+import org.mimosacleat.core.status.GroupStatus;
 import org.mimosacleat.proxy.settings.GroupSettings;
 import org.mimosacleat.wire.fleet.HomeMessage;
 import org.mimosacleat.wire.peer.WorkAnswer;
@@ -78,6 +79,16 @@
         .toList();
   }
 
+  /** Returns what this proxy knows of each group. */
+  public List<GroupStatus> status() {
+    return agents.values().stream().map(GroupAgent::status).toList();
+  }
+
+  /** Returns how many transactions are open here. */
+  public int openTransactions() {
+    return agents.values().stream().mapToInt(agent -> agent.parts().transactions().count()).sum();
+  }
+
   /** Rolls back a transaction whose caller has left. */
   public void abandon(long transaction, TransactionOwner owner) {
     agents.values().forEach(agent -> agent.parts().transactions().abandon(transaction, owner));
--- a/proxy/src/main/java/org/mimosacleat/proxy/node/ProxyNode.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/node/ProxyNode.java
@@ -1,5 +1,7 @@
 package org.mimosacleat.proxy.node;
 
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
@@ -11,13 +13,16 @@
 import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import org.mimosacleat.core.id.AvailabilityZone;
 import org.mimosacleat.core.id.EndpointId;
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.core.id.VmId;
 import org.mimosacleat.core.retry.BudgetedRetryPolicy;
 import org.mimosacleat.core.retry.RetrySettings;
+import org.mimosacleat.core.status.ProxyStatus;
 import org.mimosacleat.core.time.MonotonicClock;
 import org.mimosacleat.platform.lists.ListFetcher;
+import org.mimosacleat.platform.status.StatusJson;
 import org.mimosacleat.proxy.caller.CallerListener;
 import org.mimosacleat.proxy.dispatch.Dispatcher;
 import org.mimosacleat.proxy.fleet.FleetMessenger;
@@ -30,6 +35,8 @@
 import org.mimosacleat.proxy.home.DecisionJournal;
 import org.mimosacleat.proxy.home.HomeContext;
 import org.mimosacleat.proxy.home.Homes;
+import org.mimosacleat.proxy.operations.BatchMetrics;
+import org.mimosacleat.proxy.operations.OperationsServer;
 import org.mimosacleat.proxy.peer.PeerLinks;
 import org.mimosacleat.proxy.peer.PeerListener;
 import org.mimosacleat.proxy.settings.GroupSettings;
@@ -64,6 +71,11 @@
   private final Homes homes;
   private final PeerListener peers;
   private final CallerListener callers;
+  private final AvailabilityZone zone;
+  private final OperationsServer operations;
+  private final PrometheusMeterRegistry registry =
+      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private final Instant startedAt = clock.instant();
 
   private ProxyNode(ProxySettings settings, PlatformServices platform) throws IOException {
     List<GroupId> groups = settings.groups().stream().map(GroupSettings::id).toList();
@@ -134,9 +146,21 @@
             settings.limits(),
             settings.authentication(),
             lists,
+            new BatchMetrics(registry),
+            clock,
             Set.copyOf(groups),
             executor,
             random);
+    this.zone = settings.self().zone();
+    this.operations =
+        new OperationsServer(
+            settings.listen().operations(),
+            () -> StatusJson.print(status()),
+            registry::scrape,
+            executor);
+    registry.gauge("mimosacleat.clients", callers, CallerListener::connectionCount);
+    registry.gauge("mimosacleat.homes", homes, served -> served.served().size());
+    registry.gauge("mimosacleat.transactions.open", homes, Homes::openTransactions);
   }
 
   /**
@@ -154,6 +178,7 @@
     node.shares.start();
     node.homes.start();
     node.callers.start();
+    node.operations.start();
     Logger.info("started; clients at {}, peers at {}", node.callerAddress(), node.peerAddress());
     return node;
   }
@@ -178,9 +203,22 @@
     return homes.served();
   }
 
-  /** Returns the last decisions in words, oldest first. */
-  public List<String> decisions() {
-    return journal.last();
+  /** Returns where status and metrics are served. */
+  public InetSocketAddress operationsAddress() {
+    return operations.address();
+  }
+
+  /** Returns what this proxy has in force and has decided. */
+  public ProxyStatus status() {
+    return new ProxyStatus(
+        self,
+        zone,
+        clock.instant(),
+        startedAt,
+        lists.status(),
+        homes.status(),
+        List.of(),
+        journal.last());
   }
 
   /**
@@ -207,6 +245,7 @@
   /** Stops at once; whatever is in flight is cut off. */
   @Override
   public void close() {
+    operations.close();
     callers.close();
     peers.close();
     links.close();
