--- /dev/null
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/EvidenceGiver.java
@@ -0,0 +1,43 @@
+package org.mimosacleat.proxy.home;
+
+import java.io.IOException;
+import org.mimosacleat.core.id.EndpointId;
+import org.mimosacleat.core.id.GroupId;
+import org.mimosacleat.core.id.VmId;
+import org.mimosacleat.wire.fleet.HomeMessage;
+
+/** Tells the home of a group whether this VM reaches an endpoint; it may wait for the answer. */
+final class EvidenceGiver {
+  private final GroupId group;
+  private final HomeContext context;
+  private final GroupParts parts;
+
+  EvidenceGiver(GroupId group, HomeContext context, GroupParts parts) {
+    this.group = group;
+    this.context = context;
+    this.parts = parts;
+  }
+
+  void give(VmId home, HomeMessage.EvidenceQuestion question) {
+    boolean reachable = isReachable(question.endpoint());
+    context
+        .messenger()
+        .tell(
+            home,
+            new HomeMessage.EvidenceAnswer(group, context.zone(), question.round(), reachable));
+  }
+
+  private boolean isReachable(EndpointId endpoint) {
+    if (!parts.members().contains(endpoint)) {
+      return false;
+    }
+    try (EndpointPoller poller =
+        new EndpointPoller(
+            parts.pools().get(endpoint).address(), context.clock(), context.monitor().timeout())) {
+      poller.poll();
+      return true;
+    } catch (IOException unreachable) {
+      return false;
+    }
+  }
+}
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/GroupAgent.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/GroupAgent.java
@@ -1,7 +1,6 @@
 package org.mimosacleat.proxy.home;
 
 import io.vavr.control.Either;
-import java.io.IOException;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
@@ -21,13 +20,9 @@
 import org.mimosacleat.core.id.VmId;
 import org.mimosacleat.core.lease.LeaseInput;
 import org.mimosacleat.core.lease.LeaseRights;
-import org.mimosacleat.core.membership.HomeWatch;
-import org.mimosacleat.core.membership.HomeWatchAction;
-import org.mimosacleat.core.membership.HomeWatchInput;
 import org.mimosacleat.core.membership.HomeWatchTimes;
 import org.mimosacleat.core.placement.HomeIntent;
 import org.mimosacleat.core.placement.HomePolicy;
-import org.mimosacleat.core.placement.PlacementTable;
 import org.mimosacleat.core.promotion.PromotionInput;
 import org.mimosacleat.core.status.GroupStatus;
 import org.mimosacleat.proxy.concurrent.Mailbox;
@@ -45,7 +40,6 @@
   private static final Duration ROW_REFRESH = Duration.ofSeconds(2);
   private static final Duration SETTLE_TIME = Duration.ofSeconds(10);
   private static final Duration TRANSACTION_GRACE = Duration.ofSeconds(10);
-  private static final int ZONES_TO_LOSE_HOME = 2;
 
   private final GroupId group;
   private final HomeContext context;
@@ -54,10 +48,8 @@
   private final Mailbox mailbox;
   private final LeaseDriver lease;
   private final PromotionDriver promotion;
-  private Optional<HomeWatch> watch = Optional.empty();
-  private Optional<VmId> watched = Optional.empty();
-  private Optional<VmId> lost = Optional.empty();
-  private Optional<PlacementTable> withoutLost = Optional.empty();
+  private final HomeGuard guard;
+  private final EvidenceGiver evidence;
   private final AtomicReference<Optional<HandOver>> handOver =
       new AtomicReference<>(Optional.empty());
   private final AtomicInteger inFlight = new AtomicInteger();
@@ -78,6 +70,8 @@
     this.lease = new LeaseDriver(group, context, parts, mailbox);
     this.promotion = new PromotionDriver(group, context, parts, mailbox, lease, this::holdsLease);
     this.home = factory.home(parts);
+    this.guard = new HomeGuard(group, context);
+    this.evidence = new EvidenceGiver(group, context, parts);
   }
 
   void start() {
@@ -237,9 +231,7 @@
     boolean mayServe = holdsLease();
     if (mayServe && !serving) {
       serving = true;
-      watch = Optional.empty();
-      lost = Optional.empty();
-      withoutLost = Optional.empty();
+      guard.reset();
       parts.useToken(rights.token());
       parts.watchers().resume();
       promotion.leaseGained();
@@ -278,23 +270,20 @@
       return;
     }
     followPolicy(now);
-    lease
-        .knownHolder()
-        .filter(holder -> !holder.equals(context.self()))
-        .ifPresent(this::watchHolder);
+    lease.knownHolder().filter(holder -> !holder.equals(context.self())).ifPresent(guard::watch);
   }
 
   private void followPolicy(Instant now) {
     Optional<VmId> holder = lease.knownHolder();
     boolean holderIsLive =
-        holder.filter(vm -> context.messenger().mayBeHome(vm) && !isLost(vm)).isPresent();
+        holder.filter(vm -> context.messenger().mayBeHome(vm) && !guard.hasLost(vm)).isPresent();
     HomeIntent intent =
         policy.decide(
             group,
             holder,
             lease.holds(),
             holderIsLive,
-            placementWithoutLost(),
+            guard.placement(),
             context.messenger().unchangedFor());
     switch (intent) {
       case HomeIntent.Stay() -> {
@@ -310,66 +299,17 @@
     }
   }
 
-  /** A home that its watchers have lost may still count as a member for a while. */
-  private PlacementTable placementWithoutLost() {
-    return withoutLost.orElseGet(context.messenger()::placement);
-  }
-
-  private boolean isLost(VmId vm) {
-    return lost.equals(Optional.of(vm));
-  }
-
-  private void watchHolder(VmId holder) {
-    if (!watched.equals(Optional.of(holder)) || watch.isEmpty()) {
-      watched = Optional.of(holder);
-      watch =
-          Optional.of(
-              new HomeWatch(
-                  holder,
-                  context.zone(),
-                  Math.min(ZONES_TO_LOSE_HOME, candidates().size() - 1),
-                  context.clock(),
-                  HomeWatchTimes.STANDARD));
-    }
-    watch.get().step(new HomeWatchInput.Tick()).forEach(this::carryOut);
-  }
-
-  private void carryOut(HomeWatchAction action) {
-    switch (action) {
-      case HomeWatchAction.AskWatchers ask ->
-          candidates().stream()
-              .filter(vm -> !vm.equals(context.self()) && !vm.equals(ask.home()))
-              .forEach(
-                  vm ->
-                      context
-                          .messenger()
-                          .tell(vm, new HomeMessage.SilenceQuestion(group, ask.home())));
-      case HomeWatchAction.HomeLost homeLost -> {
-        lost = Optional.of(homeLost.home());
-        withoutLost = Optional.of(context.messenger().placementWithout(homeLost.home()));
-        context
-            .journal()
-            .add(group, "home " + homeLost.home() + " is not heard in " + homeLost.zones());
-      }
-    }
-  }
-
   private List<VmId> candidates() {
     return context.messenger().candidates(group);
   }
 
   private void handle(VmId sender, HomeMessage message) {
     switch (message) {
-      case HomeMessage.Heartbeat heartbeat -> heard(sender);
-      case HomeMessage.SilenceQuestion question -> answerSilence(sender, question);
-      case HomeMessage.SilenceAnswer answer ->
-          watch.ifPresent(
-              known ->
-                  known
-                      .step(new HomeWatchInput.Answered(sender, answer.zone(), answer.silence()))
-                      .forEach(this::carryOut));
+      case HomeMessage.Heartbeat heartbeat -> guard.heard(sender);
+      case HomeMessage.SilenceQuestion question -> guard.answer(sender, question);
+      case HomeMessage.SilenceAnswer answer -> guard.answered(sender, answer);
       case HomeMessage.EvidenceQuestion question ->
-          context.executor().submit(() -> giveEvidence(sender, question));
+          context.executor().submit(() -> evidence.give(sender, question));
       case HomeMessage.EvidenceAnswer answer ->
           promotion.step(
               new PromotionInput.EvidenceReceived(
@@ -378,48 +318,4 @@
           lease.step(new LeaseInput.HandedOver(handedOver.row(), handedOver.ceased()));
     }
   }
-
-  private void heard(VmId sender) {
-    if (isLost(sender)) {
-      lost = Optional.empty();
-      withoutLost = Optional.empty();
-    }
-    if (watched.equals(Optional.of(sender))) {
-      watch.ifPresent(known -> known.step(new HomeWatchInput.Heard()));
-    }
-  }
-
-  private void answerSilence(VmId sender, HomeMessage.SilenceQuestion question) {
-    if (watched.equals(Optional.of(question.home())) && watch.isPresent()) {
-      context
-          .messenger()
-          .tell(
-              sender,
-              new HomeMessage.SilenceAnswer(
-                  group, question.home(), context.zone(), watch.get().silence()));
-    }
-  }
-
-  private void giveEvidence(VmId sender, HomeMessage.EvidenceQuestion question) {
-    boolean reachable = isReachable(question.endpoint());
-    context
-        .messenger()
-        .tell(
-            sender,
-            new HomeMessage.EvidenceAnswer(group, context.zone(), question.round(), reachable));
-  }
-
-  private boolean isReachable(EndpointId endpoint) {
-    if (!parts.members().contains(endpoint)) {
-      return false;
-    }
-    try (EndpointPoller poller =
-        new EndpointPoller(
-            parts.pools().get(endpoint).address(), context.clock(), context.monitor().timeout())) {
-      poller.poll();
-      return true;
-    } catch (IOException unreachable) {
-      return false;
-    }
-  }
 }
