Call the peak load by its usual term

Change: names of the experiment, its parts and its measures; the command's name for it is peak-load now.

--- a/lab/src/main/java/org/mimosacleat/lab/measure/Experiments.java
+++ b/lab/src/main/java/org/mimosacleat/lab/measure/Experiments.java
@@ -10,7 +10,7 @@
 import org.mimosacleat.lab.measure.fleet.StoreReturnExperiment;
 import org.mimosacleat.lab.measure.lists.ListRaceExperiment;
 import org.mimosacleat.lab.measure.load.ConnectionsExperiment;
-import org.mimosacleat.lab.measure.load.CrestExperiment;
+import org.mimosacleat.lab.measure.load.PeakLoadExperiment;
 import org.mimosacleat.lab.measure.load.RoamingExperiment;
 import org.mimosacleat.lab.measure.load.ShortBeforeLongExperiment;
 
@@ -23,7 +23,7 @@
     return List.of(
         new ReplicaReadsExperiment(),
         new FailoverExperiment(),
-        new CrestExperiment(),
+        new PeakLoadExperiment(),
         new ShortBeforeLongExperiment(),
         new RoamingExperiment(),
         new ConnectionsExperiment(),
--- a/lab/src/main/java/org/mimosacleat/lab/measure/load/CrestClients.java
+++ b/lab/src/main/java/org/mimosacleat/lab/measure/load/PeakLoadClients.java
@@ -13,12 +13,12 @@
  * Callers whose demand swings by ten within two seconds. A caller that is refused, or that has
  * waited until its deadline, tries again up to twice; what it gave up waiting for may still run.
  */
-final class CrestClients {
+final class PeakLoadClients {
   static final long SECOND = 1_000_000_000L;
-  static final long CREST_START = 20 * SECOND;
-  static final long CREST_FULL = CREST_START + 2 * SECOND;
-  static final long CREST_END = CREST_FULL + 8 * SECOND;
-  static final long END = CREST_END + 15 * SECOND;
+  static final long PEAK_START = 20 * SECOND;
+  static final long PEAK_FULL = PEAK_START + 2 * SECOND;
+  static final long PEAK_END = PEAK_FULL + 8 * SECOND;
+  static final long END = PEAK_END + 15 * SECOND;
   private static final long SHARE_MARGIN = SECOND;
   private static final double BASE = 0.1;
   private static final long PATIENCE = SECOND;
@@ -26,17 +26,17 @@
   private static final double RETRY_PAUSE_MEAN = 0.2 * SECOND;
   private static final int SHAPES = 20;
 
-  /** The customers: shares guaranteed, and load at the crest in relation to all slots. */
-  private static final List<CrestCustomer> CUSTOMERS =
+  /** The customers: shares guaranteed, and load at peak load in relation to all slots. */
+  private static final List<PeakLoadCustomer> CUSTOMERS =
       List.of(
-          new CrestCustomer(new CustomerId("a"), 4, 0.4),
-          new CrestCustomer(new CustomerId("b"), 2, 0.5),
-          new CrestCustomer(new CustomerId("c"), 1, 2.0),
-          new CrestCustomer(new CustomerId("d"), 1, 0.1));
+          new PeakLoadCustomer(new CustomerId("a"), 4, 0.4),
+          new PeakLoadCustomer(new CustomerId("b"), 2, 0.5),
+          new PeakLoadCustomer(new CustomerId("c"), 1, 2.0),
+          new PeakLoadCustomer(new CustomerId("d"), 1, 0.1));
 
   private final EventQueue events;
   private final SplittableRandom random;
-  private final CrestSystem system;
+  private final PeakLoadSystem system;
   private final int slots;
   private final Set<Long> open = new HashSet<>();
   private final Map<Long, Integer> attempts = new HashMap<>();
@@ -47,7 +47,7 @@
   private long requestsAfter;
   private long attemptsAfter;
 
-  CrestClients(EventQueue events, long seed, CrestSystem system, int slots) {
+  PeakLoadClients(EventQueue events, long seed, PeakLoadSystem system, int slots) {
     this.events = events;
     this.random = new SplittableRandom(seed);
     this.system = system;
@@ -63,7 +63,7 @@
     if (!open.remove(job.number())) {
       return;
     }
-    if (events.now() >= CREST_FULL && events.now() < CREST_END) {
+    if (events.now() >= PEAK_FULL && events.now() < PEAK_END) {
       usefulWork += job.service();
     }
     if (isShareCounted(job.arrival())) {
@@ -78,30 +78,29 @@
     }
   }
 
-  /** Returns the share of the slots' time at the crest that was spent on answers in time. */
+  /** Returns the share of the slots' time at peak load that was spent on answers in time. */
   double goodputPercent() {
-    return 100.0 * usefulWork / (slots * (double) (CREST_END - CREST_FULL));
+    return 100.0 * usefulWork / (slots * (double) (PEAK_END - PEAK_FULL));
   }
 
   /** Returns the least that any customer got of what it is guaranteed and asked for. */
   double leastSharePercent() {
     double least = Double.MAX_VALUE;
-    for (CrestCustomer customer : CUSTOMERS) {
-      double share =
-          customer.guaranteed(CUSTOMERS) * slots * (CREST_END - SHARE_MARGIN - CREST_FULL);
+    for (PeakLoadCustomer customer : CUSTOMERS) {
+      double share = customer.guaranteed(CUSTOMERS) * slots * (PEAK_END - SHARE_MARGIN - PEAK_FULL);
       double due = Math.min(offered.get(customer.id()), share);
       least = Math.min(least, received.getOrDefault(customer.id(), 0L) / due);
     }
     return 100 * least;
   }
 
-  /** Returns the attempts for each new request in the two seconds after the crest. */
-  double attemptsPerRequestAfterCrest() {
+  /** Returns the attempts for each new request in the two seconds after the peak. */
+  double attemptsPerRequestAfterPeak() {
     return (double) attemptsAfter / requestsAfter;
   }
 
-  private void request(CrestCustomer customer) {
-    boolean after = justAfterCrest();
+  private void request(PeakLoadCustomer customer) {
+    boolean after = justAfterPeak();
     requestsAfter += after ? 1 : 0;
     long service = 1 + (long) StragglerWorkload.exponential(random, StragglerWorkload.SHORT_MEAN);
     if (isShareCounted(events.now())) {
@@ -111,8 +110,8 @@
     events.after(gap(customer), () -> request(customer));
   }
 
-  private void attempt(CrestCustomer customer, long service, int number) {
-    attemptsAfter += justAfterCrest() ? 1 : 0;
+  private void attempt(PeakLoadCustomer customer, long service, int number) {
+    attemptsAfter += justAfterPeak() ? 1 : 0;
     Job job =
         new Job(
             ++lastNumber,
@@ -143,31 +142,31 @@
     if (before >= MAXIMUM_ATTEMPTS) {
       return;
     }
-    CrestCustomer customer =
+    PeakLoadCustomer customer =
         CUSTOMERS.stream().filter(each -> each.id().equals(job.customer())).findFirst().get();
     long pause = (long) (random.nextDouble() * 2 * RETRY_PAUSE_MEAN);
     events.after(pause, () -> attempt(customer, job.service(), before + 1));
   }
 
   private static boolean isShareCounted(long arrival) {
-    return arrival >= CREST_FULL && arrival < CREST_END - SHARE_MARGIN;
+    return arrival >= PEAK_FULL && arrival < PEAK_END - SHARE_MARGIN;
   }
 
-  private boolean justAfterCrest() {
-    return events.now() >= CREST_END && events.now() < CREST_END + 2 * SECOND;
+  private boolean justAfterPeak() {
+    return events.now() >= PEAK_END && events.now() < PEAK_END + 2 * SECOND;
   }
 
-  private long gap(CrestCustomer customer) {
-    double load = customer.crestLoad() * slots * swing();
+  private long gap(PeakLoadCustomer customer) {
+    double load = customer.peakLoad() * slots * swing();
     return (long) StragglerWorkload.exponential(random, StragglerWorkload.SHORT_MEAN / load);
   }
 
   private double swing() {
     long now = events.now();
-    if (now < CREST_START || now >= CREST_END) {
+    if (now < PEAK_START || now >= PEAK_END) {
       return BASE;
     }
-    double risen = Math.min(1, (now - CREST_START) / (double) (CREST_FULL - CREST_START));
+    double risen = Math.min(1, (now - PEAK_START) / (double) (PEAK_FULL - PEAK_START));
     return BASE + (1 - BASE) * risen;
   }
 }
--- a/lab/src/main/java/org/mimosacleat/lab/measure/load/CrestExperiment.java
+++ b/lab/src/main/java/org/mimosacleat/lab/measure/load/PeakLoadExperiment.java
@@ -7,16 +7,16 @@
 import org.mimosacleat.lab.measure.Reading;
 
 /**
- * Measures service at the crest of a swing: demand rises from 30% to 300% of what a group's
+ * Measures service at peak load of a swing: demand rises from 30% to 300% of what a group's
  * endpoints can do within 2 seconds, stays for 8 seconds, and falls back.
  */
-public final class CrestExperiment implements Experiment {
+public final class PeakLoadExperiment implements Experiment {
   /** Needs nothing. */
-  public CrestExperiment() {}
+  public PeakLoadExperiment() {}
 
   @Override
   public String name() {
-    return "crest";
+    return "peak-load";
   }
 
   @Override
@@ -25,9 +25,9 @@
     int slots = instances * deployment.slots();
     EventQueue scheduled = new EventQueue();
     SchedulerPolicy scheduler = new SchedulerPolicy(scheduled, instances, deployment.slots());
-    CrestRun ours = new CrestRun(scheduled, scheduler, ProxyLimits.none(), slots, seed).run();
-    CrestRun unlimited =
-        new CrestRun(
+    PeakLoadRun ours = new PeakLoadRun(scheduled, scheduler, ProxyLimits.none(), slots, seed).run();
+    PeakLoadRun unlimited =
+        new PeakLoadRun(
                 new EventQueue(),
                 OrderedPolicy.firstInFirstOut(instances, deployment.slots()),
                 ProxyLimits.none(),
@@ -35,8 +35,8 @@
                 seed)
             .run();
     int limit = Math.ceilDiv(2 * slots, deployment.proxies());
-    CrestRun fixed =
-        new CrestRun(
+    PeakLoadRun fixed =
+        new PeakLoadRun(
                 new EventQueue(),
                 OrderedPolicy.firstInFirstOut(instances, deployment.slots()),
                 new ProxyLimits(deployment.proxies(), limit, seed),
@@ -51,10 +51,10 @@
         .toList();
   }
 
-  private static List<Reading> readings(String variant, CrestRun run) {
-    CrestClients clients = run.clients();
+  private static List<Reading> readings(String variant, PeakLoadRun run) {
+    PeakLoadClients clients = run.clients();
     return List.of(
-        new Reading("goodput at the crest", variant, "%", clients.goodputPercent(), ">= 95"),
+        new Reading("goodput at peak load", variant, "%", clients.goodputPercent(), ">= 95"),
         new Reading(
             "least part of a guaranteed share",
             variant,
@@ -66,7 +66,7 @@
             "attempts a request in the 2 s after",
             variant,
             "",
-            clients.attemptsPerRequestAfterCrest(),
+            clients.attemptsPerRequestAfterPeak(),
             ""),
         new Reading(
             "slowest refusal once certain",
--- a/lab/src/main/java/org/mimosacleat/lab/measure/load/CrestRun.java
+++ b/lab/src/main/java/org/mimosacleat/lab/measure/load/PeakLoadRun.java
@@ -4,7 +4,7 @@
 import org.HdrHistogram.Histogram;
 
 /** Runs one swing of demand through a policy, with or without a fixed limit at each proxy. */
-final class CrestRun implements CrestSystem {
+final class PeakLoadRun implements PeakLoadSystem {
   private static final long TICK = 5_000_000;
   private static final int DIGITS = 3;
   private static final double NANOSECONDS_PER_MILLISECOND = 1e6;
@@ -12,33 +12,33 @@
   private final EventQueue events;
   private final SlotPolicy policy;
   private final ProxyLimits limits;
-  private final CrestClients clients;
+  private final PeakLoadClients clients;
   private final int slots;
   private final Histogram refusalDelay = new Histogram(DIGITS);
   private long lastLongQueue;
 
-  CrestRun(EventQueue events, SlotPolicy policy, ProxyLimits limits, int slots, long seed) {
+  PeakLoadRun(EventQueue events, SlotPolicy policy, ProxyLimits limits, int slots, long seed) {
     this.events = events;
     this.policy = policy;
     this.limits = limits;
     this.slots = slots;
-    this.clients = new CrestClients(events, seed, this, slots);
+    this.clients = new PeakLoadClients(events, seed, this, slots);
   }
 
-  CrestRun run() {
+  PeakLoadRun run() {
     clients.start();
     events.at(TICK, this::tick);
-    events.runUntil(CrestClients.END);
+    events.runUntil(PeakLoadClients.END);
     return this;
   }
 
-  CrestClients clients() {
+  PeakLoadClients clients() {
     return clients;
   }
 
-  /** Returns how long after the crest the queue was last longer than the slots. */
+  /** Returns how long after the peak the queue was last longer than the slots. */
   double recoverySeconds() {
-    return Math.max(0, lastLongQueue - CrestClients.CREST_END) / (double) CrestClients.SECOND;
+    return Math.max(0, lastLongQueue - PeakLoadClients.PEAK_END) / (double) PeakLoadClients.SECOND;
   }
 
   /** Returns the longest time from the moment a refusal was certain to its answer. */
