Name the group when a client leaves its transaction

Cause: found on rereading. Homes.abandon offered a transaction's number to every group's agent, though numbers are counted per group; over one link the same number of another group, of another client, was rolled back as well. Change: the message and the call name the group, and one agent is asked instead of all. Ruled out: one counter for all groups, which would keep the broadcast.

--- a/proxy/src/main/java/org/mimosacleat/proxy/caller/BatchHandler.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/caller/BatchHandler.java
@@ -68,7 +68,9 @@
   void abandon() {
     session
         .transactionHome()
-        .ifPresent(home -> dispatcher.abandon(home, session.transaction(), session.owner()));
+        .ifPresent(
+            home ->
+                dispatcher.abandon(home, session.group(), session.transaction(), session.owner()));
     session.idle();
   }
 
--- a/proxy/src/main/java/org/mimosacleat/proxy/dispatch/Dispatcher.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/dispatch/Dispatcher.java
@@ -113,13 +113,13 @@
   }
 
   /** Rolls back an open transaction whose caller has left. */
-  public void abandon(VmId home, long transaction, TransactionOwner owner) {
+  public void abandon(VmId home, GroupId group, long transaction, TransactionOwner owner) {
     if (home.equals(self)) {
-      homes.abandon(transaction, owner);
+      homes.abandon(group, transaction, owner);
       return;
     }
     try {
-      links.to(home).tell(new PeerMessage.Abandon(transaction));
+      links.to(home).tell(new PeerMessage.Abandon(group, transaction));
     } catch (IOException unreachable) {
       // The home rolls back by itself when it loses the link.
       return;
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/Homes.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/Homes.java
@@ -90,8 +90,9 @@
   }
 
   /** Rolls back a transaction whose caller has left. */
-  public void abandon(long transaction, TransactionOwner owner) {
-    agents.values().forEach(agent -> agent.parts().transactions().abandon(transaction, owner));
+  public void abandon(GroupId group, long transaction, TransactionOwner owner) {
+    Optional.ofNullable(agents.get(group))
+        .ifPresent(agent -> agent.parts().transactions().abandon(transaction, owner));
   }
 
   /** Rolls back all transactions of an owner that was lost. */
--- a/proxy/src/main/java/org/mimosacleat/proxy/peer/PeerSession.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/peer/PeerSession.java
@@ -72,7 +72,8 @@
     switch (message) {
       case PeerMessage.Work work -> start(work);
       case PeerMessage.Cancel cancel -> cancel(cancel.correlation());
-      case PeerMessage.Abandon abandon -> homes.abandon(abandon.transaction(), owner);
+      case PeerMessage.Abandon abandon ->
+          homes.abandon(abandon.group(), abandon.transaction(), owner);
       case PeerMessage.Fleet fleetMessage -> fleet.received(peer, fleetMessage);
       default -> throw new PeerProtocolException("peer " + peer + " sent an answer as a request");
     }
--- a/wire/src/main/java/org/mimosacleat/wire/peer/PeerCodec.java
+++ b/wire/src/main/java/org/mimosacleat/wire/peer/PeerCodec.java
@@ -85,7 +85,11 @@
               .packString(failed.failure().kind().name())
               .packString(failed.failure().detail());
       case PeerMessage.Cancel cancel -> packer.packInt(CANCEL).packLong(cancel.correlation());
-      case PeerMessage.Abandon abandon -> packer.packInt(ABANDON).packLong(abandon.transaction());
+      case PeerMessage.Abandon abandon ->
+          packer
+              .packInt(ABANDON)
+              .packString(abandon.group().value())
+              .packLong(abandon.transaction());
       case PeerMessage.Fleet fleet ->
           packBytes(packer.packInt(FLEET).packInt(fleet.channel()), fleet.body());
     }
@@ -100,7 +104,8 @@
       case ANSWERED -> new PeerMessage.Answered(unpacker.unpackLong(), unpackAnswer(unpacker));
       case FAILED -> new PeerMessage.Failed(unpacker.unpackLong(), unpackFailure(unpacker));
       case CANCEL -> new PeerMessage.Cancel(unpacker.unpackLong());
-      case ABANDON -> new PeerMessage.Abandon(unpacker.unpackLong());
+      case ABANDON ->
+          new PeerMessage.Abandon(new GroupId(unpacker.unpackString()), unpacker.unpackLong());
       case FLEET -> new PeerMessage.Fleet(unpacker.unpackInt(), unpackBytes(unpacker));
       default -> throw new PeerProtocolException("peer message: unknown type " + type);
     };
--- a/wire/src/main/java/org/mimosacleat/wire/peer/PeerMessage.java
+++ b/wire/src/main/java/org/mimosacleat/wire/peer/PeerMessage.java
@@ -1,6 +1,7 @@
 package org.mimosacleat.wire.peer;
 
 import org.mimosacleat.core.error.Failure;
+import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.core.id.VmId;
 
 /** One message between two proxies. */
@@ -41,9 +42,10 @@
   /**
    * Asks to roll back an open transaction whose caller has left; has no answer.
    *
-   * @param transaction the number that the home gave to the transaction
+   * @param group the group that the transaction is in
+   * @param transaction the number that the home gave to the transaction, unique within the group
    */
-  record Abandon(long transaction) implements PeerMessage {}
+  record Abandon(GroupId group, long transaction) implements PeerMessage {}
 
   /**
    * Carries a message of one of the fleet's protocols; has no answer on this level.
