--- a/control/src/main/java/org/mimosacleat/control/ControlSettings.java
+++ b/control/src/main/java/org/mimosacleat/control/ControlSettings.java
@@ -16,7 +16,7 @@
 import org.mimosacleat.core.settings.SettingsReader;
 import org.mimosacleat.core.settings.SettingsSchema;
 import org.mimosacleat.core.settings.TextType;
-import org.mimosacleat.platform.aws.PlatformSettings;
+import org.mimosacleat.store.aws.PlatformSettings;
 
 /**
  * The settings of mimosacleatctl.
--- a/control/src/main/java/org/mimosacleat/control/ListSession.java
+++ b/control/src/main/java/org/mimosacleat/control/ListSession.java
@@ -13,12 +13,12 @@
 import org.mimosacleat.core.store.StoreGate;
 import org.mimosacleat.core.store.StoreLimits;
 import org.mimosacleat.core.time.Sleeper;
-import org.mimosacleat.platform.aws.AwsPlatform;
-import org.mimosacleat.platform.lists.ListEdit;
-import org.mimosacleat.platform.lists.ListFetcher;
-import org.mimosacleat.platform.lists.ListPublisher;
-import org.mimosacleat.platform.lists.PublishResult;
-import org.mimosacleat.platform.store.StorePacer;
+import org.mimosacleat.store.aws.AwsPlatform;
+import org.mimosacleat.store.lists.ListEdit;
+import org.mimosacleat.store.lists.ListFetcher;
+import org.mimosacleat.store.lists.ListPublisher;
+import org.mimosacleat.store.lists.PublishResult;
+import org.mimosacleat.store.pacing.StorePacer;
 
 /** The lists on the platform, for the time of one command. */
 final class ListSession implements AutoCloseable {
--- a/control/src/main/java/org/mimosacleat/control/PublishReport.java
+++ b/control/src/main/java/org/mimosacleat/control/PublishReport.java
@@ -5,8 +5,8 @@
 import org.mimosacleat.core.lists.ListChange;
 import org.mimosacleat.core.lists.ListDiff;
 import org.mimosacleat.core.lists.PublishedList;
-import org.mimosacleat.platform.lists.ListEdit;
-import org.mimosacleat.platform.lists.PublishResult;
+import org.mimosacleat.store.lists.ListEdit;
+import org.mimosacleat.store.lists.PublishResult;
 
 /** Tells an operator what became of an edit, and gives back the text of one that lost a race. */
 final class PublishReport {
--- a/control/src/main/java/org/mimosacleat/control/StatusClient.java
+++ b/control/src/main/java/org/mimosacleat/control/StatusClient.java
@@ -12,7 +12,7 @@
 import org.mimosacleat.core.error.Failure;
 import org.mimosacleat.core.settings.AddressType;
 import org.mimosacleat.core.status.ProxyStatus;
-import org.mimosacleat.platform.status.StatusReader;
+import org.mimosacleat.store.status.StatusReader;
 
 /** Asks proxies for their status page. */
 final class StatusClient {
--- a/control/src/main/java/org/mimosacleat/control/StatusCommand.java
+++ b/control/src/main/java/org/mimosacleat/control/StatusCommand.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.Callable;
 import org.mimosacleat.core.error.Failure;
 import org.mimosacleat.core.status.ProxyStatus;
-import org.mimosacleat.platform.status.StatusJson;
+import org.mimosacleat.store.status.StatusJson;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
--- a/control/src/test/java/org/mimosacleat/control/ControlCommandTest.java
+++ b/control/src/test/java/org/mimosacleat/control/ControlCommandTest.java
@@ -31,9 +31,9 @@
 import org.mimosacleat.core.status.GroupStatus;
 import org.mimosacleat.core.status.ListStatus;
 import org.mimosacleat.core.status.ProxyStatus;
-import org.mimosacleat.platform.status.StatusJson;
-import org.mimosacleat.platform.status.StatusReader;
 import org.mimosacleat.standin.platform.PlatformStandin;
+import org.mimosacleat.store.status.StatusJson;
+import org.mimosacleat.store.status.StatusReader;
 import picocli.CommandLine;
 
 class ControlCommandTest {
--- a/lab/src/main/java/org/mimosacleat/lab/demo/LocalPlatform.java
+++ b/lab/src/main/java/org/mimosacleat/lab/demo/LocalPlatform.java
@@ -12,15 +12,15 @@
 import org.mimosacleat.core.vmlist.EndpointRecord;
 import org.mimosacleat.core.vmlist.ListedState;
 import org.mimosacleat.core.vmlist.VmListing;
-import org.mimosacleat.platform.lists.ListEdit;
-import org.mimosacleat.platform.lists.ListPublisher;
-import org.mimosacleat.platform.lists.PublishResult;
 import org.mimosacleat.proxy.node.PlatformServices;
 import org.mimosacleat.standin.endpoint.EndpointStandin;
 import org.mimosacleat.standin.platform.FakeObjectStore;
 import org.mimosacleat.standin.platform.FakeTableService;
 import org.mimosacleat.standin.platform.FakeVmList;
 import org.mimosacleat.standin.platform.Faults;
+import org.mimosacleat.store.lists.ListEdit;
+import org.mimosacleat.store.lists.ListPublisher;
+import org.mimosacleat.store.lists.PublishResult;
 
 /** The platform of a deployment on this machine, with a first version of both lists. */
 public final class LocalPlatform {
--- a/lab/src/main/java/org/mimosacleat/lab/demo/SettingsText.java
+++ b/lab/src/main/java/org/mimosacleat/lab/demo/SettingsText.java
@@ -4,9 +4,9 @@
 import java.util.List;
 import org.mimosacleat.core.id.AvailabilityZone;
 import org.mimosacleat.core.settings.AddressType;
-import org.mimosacleat.platform.aws.PlatformSettings;
 import org.mimosacleat.standin.endpoint.EndpointStandin;
 import org.mimosacleat.standin.endpoint.GroupStandin;
+import org.mimosacleat.store.aws.PlatformSettings;
 
 /** Writes the settings files of proxies that run as processes of their own. */
 final class SettingsText {
--- a/lab/src/main/java/org/mimosacleat/lab/demo/StandinHost.java
+++ b/lab/src/main/java/org/mimosacleat/lab/demo/StandinHost.java
@@ -16,12 +16,12 @@
 import org.mimosacleat.core.store.StoreLimits;
 import org.mimosacleat.core.time.MonotonicClock;
 import org.mimosacleat.core.time.Sleeper;
-import org.mimosacleat.platform.aws.AwsPlatform;
-import org.mimosacleat.platform.lists.ListEdit;
-import org.mimosacleat.platform.lists.ListPublisher;
-import org.mimosacleat.platform.store.StorePacer;
 import org.mimosacleat.standin.endpoint.GroupStandin;
 import org.mimosacleat.standin.platform.PlatformStandin;
+import org.mimosacleat.store.aws.AwsPlatform;
+import org.mimosacleat.store.lists.ListEdit;
+import org.mimosacleat.store.lists.ListPublisher;
+import org.mimosacleat.store.pacing.StorePacer;
 import org.mimosacleat.wire.postgres.authentication.ScramVerifier;
 
 /**
--- a/lab/src/main/java/org/mimosacleat/lab/measure/lists/VersionedVariant.java
+++ b/lab/src/main/java/org/mimosacleat/lab/measure/lists/VersionedVariant.java
@@ -15,13 +15,13 @@
 import org.mimosacleat.core.lists.PlansText;
 import org.mimosacleat.core.lists.PublishedList;
 import org.mimosacleat.core.time.PausedClock;
-import org.mimosacleat.platform.lists.ListEdit;
-import org.mimosacleat.platform.lists.ListFetcher;
-import org.mimosacleat.platform.lists.ListPublisher;
-import org.mimosacleat.platform.lists.PublishResult;
 import org.mimosacleat.standin.platform.FakeObjectStore;
 import org.mimosacleat.standin.platform.FakeTableService;
 import org.mimosacleat.standin.platform.Faults;
+import org.mimosacleat.store.lists.ListEdit;
+import org.mimosacleat.store.lists.ListFetcher;
+import org.mimosacleat.store.lists.ListPublisher;
+import org.mimosacleat.store.lists.PublishResult;
 
 /** Orders edits by versions with conditional writes: the product's own publisher and registry. */
 final class VersionedVariant implements ListVariant<PublishedList> {
--- a/lab/src/test/java/org/mimosacleat/lab/path/WholePathTest.java
+++ b/lab/src/test/java/org/mimosacleat/lab/path/WholePathTest.java
@@ -19,7 +19,7 @@
 import org.mimosacleat.core.status.ProxyStatus;
 import org.mimosacleat.lab.demo.FleetPlan;
 import org.mimosacleat.lab.demo.LocalFleet;
-import org.mimosacleat.platform.status.StatusReader;
+import org.mimosacleat.store.status.StatusReader;
 
 class WholePathTest {
   private static final GroupId GROUP = new GroupId("lending-1");
--- a/proxy/src/main/java/org/mimosacleat/proxy/command/PlatformFactory.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/command/PlatformFactory.java
@@ -6,9 +6,9 @@
 import org.mimosacleat.core.store.StoreLimits;
 import org.mimosacleat.core.time.MonotonicClock;
 import org.mimosacleat.core.time.Sleeper;
-import org.mimosacleat.platform.aws.AwsPlatform;
-import org.mimosacleat.platform.store.StorePacer;
 import org.mimosacleat.proxy.settings.ProxySettings;
+import org.mimosacleat.store.aws.AwsPlatform;
+import org.mimosacleat.store.pacing.StorePacer;
 
 /** Opens the platform's services, paced by the share that this process has of them. */
 final class PlatformFactory {
--- a/proxy/src/main/java/org/mimosacleat/proxy/fleet/ListKeeper.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/fleet/ListKeeper.java
@@ -27,9 +27,9 @@
 import org.mimosacleat.core.spread.SpreadMessage;
 import org.mimosacleat.core.spread.SpreadTimes;
 import org.mimosacleat.core.status.ListStatus;
-import org.mimosacleat.platform.lists.ListFetcher;
 import org.mimosacleat.proxy.caller.CustomerDirectory;
 import org.mimosacleat.proxy.concurrent.Mailbox;
+import org.mimosacleat.store.lists.ListFetcher;
 import org.mimosacleat.wire.fleet.SpreadMessageCodec;
 import org.tinylog.Logger;
 
--- a/proxy/src/main/java/org/mimosacleat/proxy/fleet/PlatformVmSource.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/fleet/PlatformVmSource.java
@@ -16,8 +16,8 @@
 import org.mimosacleat.core.vmlist.ListedState;
 import org.mimosacleat.core.vmlist.VmListing;
 import org.mimosacleat.core.vmlist.VmRecord;
-import org.mimosacleat.platform.vmlist.VmList;
 import org.mimosacleat.proxy.settings.PeerSettings;
+import org.mimosacleat.store.vmlist.VmList;
 
 /** Joins the VMs of the settings with those of the platform's list; the list goes first. */
 public final class PlatformVmSource implements VmSource {
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/GroupRowFinder.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/GroupRowFinder.java
@@ -12,9 +12,9 @@
 import org.mimosacleat.core.position.Term;
 import org.mimosacleat.core.promotion.GroupRow;
 import org.mimosacleat.core.promotion.RowVersion;
-import org.mimosacleat.platform.table.WriteResult;
 import org.mimosacleat.proxy.endpoint.EndpointPool;
 import org.mimosacleat.proxy.store.GroupRowStore;
+import org.mimosacleat.store.table.WriteResult;
 
 /**
  * Finds the row of a group for a new home. A group that never had one gets it from what its
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/HomeContext.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/HomeContext.java
@@ -6,9 +6,9 @@
 import java.util.random.RandomGenerator;
 import org.mimosacleat.core.id.AvailabilityZone;
 import org.mimosacleat.core.id.VmId;
-import org.mimosacleat.platform.table.TableService;
 import org.mimosacleat.proxy.settings.LimitSettings;
 import org.mimosacleat.proxy.settings.MonitorSettings;
+import org.mimosacleat.store.table.TableService;
 
 /**
  * What all homes of a proxy share.
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/LeaseDriver.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/LeaseDriver.java
@@ -15,9 +15,9 @@
 import org.mimosacleat.core.lease.LeaseRow;
 import org.mimosacleat.core.lease.LeaseTimes;
 import org.mimosacleat.core.lease.WriteId;
-import org.mimosacleat.platform.table.WriteResult;
 import org.mimosacleat.proxy.concurrent.Mailbox;
 import org.mimosacleat.proxy.store.LeaseRowStore;
+import org.mimosacleat.store.table.WriteResult;
 import org.mimosacleat.wire.fleet.HomeMessage;
 
 /** Feeds the lease machine of a group and carries out its actions. Use it from the mailbox only. */
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/PromotionDriver.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/PromotionDriver.java
@@ -18,9 +18,9 @@
 import org.mimosacleat.core.promotion.PromotionMachine;
 import org.mimosacleat.core.promotion.PromotionSettings;
 import org.mimosacleat.core.time.Sleeper;
-import org.mimosacleat.platform.table.WriteResult;
 import org.mimosacleat.proxy.concurrent.Mailbox;
 import org.mimosacleat.proxy.store.GroupRowStore;
+import org.mimosacleat.store.table.WriteResult;
 import org.mimosacleat.wire.fleet.HomeMessage;
 
 /**
--- a/proxy/src/main/java/org/mimosacleat/proxy/node/PlatformServices.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/node/PlatformServices.java
@@ -1,8 +1,8 @@
 package org.mimosacleat.proxy.node;
 
-import org.mimosacleat.platform.object.ObjectStore;
-import org.mimosacleat.platform.table.TableService;
-import org.mimosacleat.platform.vmlist.VmList;
+import org.mimosacleat.store.object.ObjectStore;
+import org.mimosacleat.store.table.TableService;
+import org.mimosacleat.store.vmlist.VmList;
 
 /**
  * The platform's services as a proxy uses them.
--- a/proxy/src/main/java/org/mimosacleat/proxy/node/ProxyNode.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/node/ProxyNode.java
@@ -21,8 +21,6 @@
 import org.mimosacleat.core.retry.RetrySettings;
 import org.mimosacleat.core.status.ProxyStatus;
 import org.mimosacleat.core.time.MonotonicClock;
-import org.mimosacleat.platform.lists.ListFetcher;
-import org.mimosacleat.platform.status.StatusJson;
 import org.mimosacleat.proxy.caller.CallerListener;
 import org.mimosacleat.proxy.dispatch.Dispatcher;
 import org.mimosacleat.proxy.fleet.FleetMessenger;
@@ -42,6 +40,8 @@
 import org.mimosacleat.proxy.settings.GroupSettings;
 import org.mimosacleat.proxy.settings.PeerSettings;
 import org.mimosacleat.proxy.settings.ProxySettings;
+import org.mimosacleat.store.lists.ListFetcher;
+import org.mimosacleat.store.status.StatusJson;
 import org.mimosacleat.wire.peer.PeerAuthenticator;
 import org.tinylog.Logger;
 
--- a/proxy/src/main/java/org/mimosacleat/proxy/settings/ProxySchema.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/settings/ProxySchema.java
@@ -17,7 +17,7 @@
 import org.mimosacleat.core.settings.SettingsSchema;
 import org.mimosacleat.core.settings.TextType;
 import org.mimosacleat.core.settings.WholeNumberType;
-import org.mimosacleat.platform.aws.PlatformSettings;
+import org.mimosacleat.store.aws.PlatformSettings;
 import org.mimosacleat.wire.peer.PeerAuthenticator;
 
 /** The sections and keys of a proxy's settings file. */
--- a/proxy/src/main/java/org/mimosacleat/proxy/settings/ProxySettings.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/settings/ProxySettings.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 import org.mimosacleat.core.settings.Secret;
-import org.mimosacleat.platform.aws.PlatformSettings;
+import org.mimosacleat.store.aws.PlatformSettings;
 
 /**
  * The settings of one proxy.
--- a/proxy/src/main/java/org/mimosacleat/proxy/settings/ProxySettingsReader.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/settings/ProxySettingsReader.java
@@ -11,7 +11,7 @@
 import org.mimosacleat.core.settings.SettingsProblem;
 import org.mimosacleat.core.settings.SettingsReader;
 import org.mimosacleat.core.settings.SettingsSection;
-import org.mimosacleat.platform.aws.PlatformSettings;
+import org.mimosacleat.store.aws.PlatformSettings;
 
 /** Reads a proxy's settings and checks what spans several sections. */
 public final class ProxySettingsReader {
--- a/proxy/src/main/java/org/mimosacleat/proxy/store/GroupRowStore.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/store/GroupRowStore.java
@@ -11,14 +11,14 @@
 import org.mimosacleat.core.position.Term;
 import org.mimosacleat.core.promotion.GroupRow;
 import org.mimosacleat.core.promotion.RowVersion;
-import org.mimosacleat.platform.store.WriteId;
-import org.mimosacleat.platform.table.Attributes;
-import org.mimosacleat.platform.table.Row;
-import org.mimosacleat.platform.table.RowCondition;
-import org.mimosacleat.platform.table.RowKey;
-import org.mimosacleat.platform.table.RowWrite;
-import org.mimosacleat.platform.table.TableService;
-import org.mimosacleat.platform.table.WriteResult;
+import org.mimosacleat.store.pacing.WriteId;
+import org.mimosacleat.store.table.Attributes;
+import org.mimosacleat.store.table.Row;
+import org.mimosacleat.store.table.RowCondition;
+import org.mimosacleat.store.table.RowKey;
+import org.mimosacleat.store.table.RowWrite;
+import org.mimosacleat.store.table.TableService;
+import org.mimosacleat.store.table.WriteResult;
 
 /** Keeps the row that says who leads a group; one row of kind {@value #KIND} a group. */
 public final class GroupRowStore {
--- a/proxy/src/main/java/org/mimosacleat/proxy/store/LeaseRowStore.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/store/LeaseRowStore.java
@@ -16,13 +16,13 @@
 import org.mimosacleat.core.lease.LeaseAction;
 import org.mimosacleat.core.lease.LeaseRow;
 import org.mimosacleat.core.lease.WriteId;
-import org.mimosacleat.platform.table.Attributes;
-import org.mimosacleat.platform.table.Row;
-import org.mimosacleat.platform.table.RowCondition;
-import org.mimosacleat.platform.table.RowKey;
-import org.mimosacleat.platform.table.RowWrite;
-import org.mimosacleat.platform.table.TableService;
-import org.mimosacleat.platform.table.WriteResult;
+import org.mimosacleat.store.table.Attributes;
+import org.mimosacleat.store.table.Row;
+import org.mimosacleat.store.table.RowCondition;
+import org.mimosacleat.store.table.RowKey;
+import org.mimosacleat.store.table.RowWrite;
+import org.mimosacleat.store.table.TableService;
+import org.mimosacleat.store.table.WriteResult;
 
 /** Keeps the lease row of each group; one row of kind {@value #KIND} a group. */
 public final class LeaseRowStore {
@@ -65,7 +65,7 @@
         new RowWrite.Put(
             key(write.row().group()),
             condition,
-            new org.mimosacleat.platform.store.WriteId(write.row().writeId().value()),
+            new org.mimosacleat.store.pacing.WriteId(write.row().writeId().value()),
             attributes(write.row())),
         timeout);
   }
--- a/standin/src/main/java/org/mimosacleat/standin/platform/DynamoHandler.java
+++ b/standin/src/main/java/org/mimosacleat/standin/platform/DynamoHandler.java
@@ -8,10 +8,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import org.mimosacleat.platform.table.Row;
-import org.mimosacleat.platform.table.RowKey;
-import org.mimosacleat.platform.table.RowWrite;
-import org.mimosacleat.platform.table.WriteResult;
+import org.mimosacleat.store.table.Row;
+import org.mimosacleat.store.table.RowKey;
+import org.mimosacleat.store.table.RowWrite;
+import org.mimosacleat.store.table.WriteResult;
 import software.amazon.awssdk.protocols.jsoncore.JsonNode;
 import software.amazon.awssdk.protocols.jsoncore.JsonWriter;
 
--- a/standin/src/main/java/org/mimosacleat/standin/platform/DynamoItems.java
+++ b/standin/src/main/java/org/mimosacleat/standin/platform/DynamoItems.java
@@ -3,12 +3,12 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import org.mimosacleat.platform.store.WriteId;
-import org.mimosacleat.platform.table.Attributes;
-import org.mimosacleat.platform.table.Row;
-import org.mimosacleat.platform.table.RowCondition;
-import org.mimosacleat.platform.table.RowKey;
-import org.mimosacleat.platform.table.RowWrite;
+import org.mimosacleat.store.pacing.WriteId;
+import org.mimosacleat.store.table.Attributes;
+import org.mimosacleat.store.table.Row;
+import org.mimosacleat.store.table.RowCondition;
+import org.mimosacleat.store.table.RowKey;
+import org.mimosacleat.store.table.RowWrite;
 import software.amazon.awssdk.protocols.jsoncore.JsonNode;
 import software.amazon.awssdk.protocols.jsoncore.JsonWriter;
 
--- a/standin/src/main/java/org/mimosacleat/standin/platform/FakeObjectStore.java
+++ b/standin/src/main/java/org/mimosacleat/standin/platform/FakeObjectStore.java
@@ -8,13 +8,13 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.mimosacleat.core.error.ErrorKind;
 import org.mimosacleat.core.error.Failure;
-import org.mimosacleat.platform.object.EntityTag;
-import org.mimosacleat.platform.object.ObjectKey;
-import org.mimosacleat.platform.object.ObjectPut;
-import org.mimosacleat.platform.object.ObjectRead;
-import org.mimosacleat.platform.object.ObjectStore;
-import org.mimosacleat.platform.object.PutResult;
-import org.mimosacleat.platform.object.StoredObject;
+import org.mimosacleat.store.object.EntityTag;
+import org.mimosacleat.store.object.ObjectKey;
+import org.mimosacleat.store.object.ObjectPut;
+import org.mimosacleat.store.object.ObjectRead;
+import org.mimosacleat.store.object.ObjectStore;
+import org.mimosacleat.store.object.PutResult;
+import org.mimosacleat.store.object.StoredObject;
 
 /** An object store in memory whose faults are switched by {@link Faults}. */
 public final class FakeObjectStore implements ObjectStore {
--- a/standin/src/main/java/org/mimosacleat/standin/platform/FakeTableService.java
+++ b/standin/src/main/java/org/mimosacleat/standin/platform/FakeTableService.java
@@ -8,11 +8,11 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.mimosacleat.core.error.ErrorKind;
 import org.mimosacleat.core.error.Failure;
-import org.mimosacleat.platform.table.Row;
-import org.mimosacleat.platform.table.RowKey;
-import org.mimosacleat.platform.table.RowWrite;
-import org.mimosacleat.platform.table.TableService;
-import org.mimosacleat.platform.table.WriteResult;
+import org.mimosacleat.store.table.Row;
+import org.mimosacleat.store.table.RowKey;
+import org.mimosacleat.store.table.RowWrite;
+import org.mimosacleat.store.table.TableService;
+import org.mimosacleat.store.table.WriteResult;
 
 /** A table service in memory whose faults are switched by {@link Faults}. */
 public final class FakeTableService implements TableService {
--- a/standin/src/main/java/org/mimosacleat/standin/platform/FakeVmList.java
+++ b/standin/src/main/java/org/mimosacleat/standin/platform/FakeVmList.java
@@ -11,7 +11,7 @@
 import org.mimosacleat.core.error.ErrorKind;
 import org.mimosacleat.core.error.Failure;
 import org.mimosacleat.core.vmlist.VmListing;
-import org.mimosacleat.platform.vmlist.VmList;
+import org.mimosacleat.store.vmlist.VmList;
 
 /**
  * A list of VMs in memory that shows each listing only after a lag; other faults are switched by
--- a/standin/src/main/java/org/mimosacleat/standin/platform/PlatformStandin.java
+++ b/standin/src/main/java/org/mimosacleat/standin/platform/PlatformStandin.java
@@ -12,15 +12,15 @@
 import org.mimosacleat.core.settings.Secret;
 import org.mimosacleat.core.time.Sleeper;
 import org.mimosacleat.core.vmlist.VmListing;
-import org.mimosacleat.platform.aws.PlatformSettings;
-import org.mimosacleat.platform.object.ObjectPut;
-import org.mimosacleat.platform.object.ObjectRead;
-import org.mimosacleat.platform.object.PutCondition;
-import org.mimosacleat.platform.object.PutResult;
-import org.mimosacleat.platform.object.StoredObject;
-import org.mimosacleat.platform.store.WriteId;
-import org.mimosacleat.platform.vmlist.ObjectVmList;
-import org.mimosacleat.platform.vmlist.VmListText;
+import org.mimosacleat.store.aws.PlatformSettings;
+import org.mimosacleat.store.object.ObjectPut;
+import org.mimosacleat.store.object.ObjectRead;
+import org.mimosacleat.store.object.PutCondition;
+import org.mimosacleat.store.object.PutResult;
+import org.mimosacleat.store.object.StoredObject;
+import org.mimosacleat.store.pacing.WriteId;
+import org.mimosacleat.store.vmlist.ObjectVmList;
+import org.mimosacleat.store.vmlist.VmListText;
 
 /**
  * A stand-in for the platform that real clients of DynamoDB and S3 can talk to over HTTP. Start it
--- a/standin/src/main/java/org/mimosacleat/standin/platform/S3Handler.java
+++ b/standin/src/main/java/org/mimosacleat/standin/platform/S3Handler.java
@@ -11,14 +11,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.mimosacleat.platform.object.EntityTag;
-import org.mimosacleat.platform.object.ObjectKey;
-import org.mimosacleat.platform.object.ObjectPut;
-import org.mimosacleat.platform.object.ObjectRead;
-import org.mimosacleat.platform.object.PutCondition;
-import org.mimosacleat.platform.object.PutResult;
-import org.mimosacleat.platform.object.StoredObject;
-import org.mimosacleat.platform.store.WriteId;
+import org.mimosacleat.store.object.EntityTag;
+import org.mimosacleat.store.object.ObjectKey;
+import org.mimosacleat.store.object.ObjectPut;
+import org.mimosacleat.store.object.ObjectRead;
+import org.mimosacleat.store.object.PutCondition;
+import org.mimosacleat.store.object.PutResult;
+import org.mimosacleat.store.object.StoredObject;
+import org.mimosacleat.store.pacing.WriteId;
 
 /**
  * Speaks the calls of S3 that the adapter makes, in front of a {@link FakeObjectStore}. An answer
--- a/standin/src/test/java/org/mimosacleat/standin/platform/InterceptingObjectStore.java
+++ b/standin/src/test/java/org/mimosacleat/standin/platform/InterceptingObjectStore.java
@@ -6,12 +6,12 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 import org.mimosacleat.core.error.Failure;
-import org.mimosacleat.platform.object.EntityTag;
-import org.mimosacleat.platform.object.ObjectKey;
-import org.mimosacleat.platform.object.ObjectPut;
-import org.mimosacleat.platform.object.ObjectRead;
-import org.mimosacleat.platform.object.ObjectStore;
-import org.mimosacleat.platform.object.PutResult;
+import org.mimosacleat.store.object.EntityTag;
+import org.mimosacleat.store.object.ObjectKey;
+import org.mimosacleat.store.object.ObjectPut;
+import org.mimosacleat.store.object.ObjectRead;
+import org.mimosacleat.store.object.ObjectStore;
+import org.mimosacleat.store.object.PutResult;
 
 /** Runs another editor's step just before the first put goes through. */
 final class InterceptingObjectStore implements ObjectStore {
--- a/standin/src/test/java/org/mimosacleat/standin/platform/ListPublisherTest.java
+++ b/standin/src/test/java/org/mimosacleat/standin/platform/ListPublisherTest.java
@@ -18,10 +18,10 @@
 import org.mimosacleat.core.lists.ListVersions;
 import org.mimosacleat.core.lists.PublishedList;
 import org.mimosacleat.core.time.PausedClock;
-import org.mimosacleat.platform.lists.ListEdit;
-import org.mimosacleat.platform.lists.ListFetcher;
-import org.mimosacleat.platform.lists.ListPublisher;
-import org.mimosacleat.platform.lists.PublishResult;
+import org.mimosacleat.store.lists.ListEdit;
+import org.mimosacleat.store.lists.ListFetcher;
+import org.mimosacleat.store.lists.ListPublisher;
+import org.mimosacleat.store.lists.PublishResult;
 
 class ListPublisherTest {
   private static final long SEED = 7;
--- a/standin/src/test/java/org/mimosacleat/standin/platform/PacedTableServiceTest.java
+++ b/standin/src/test/java/org/mimosacleat/standin/platform/PacedTableServiceTest.java
@@ -10,15 +10,15 @@
 import org.mimosacleat.core.store.StoreGate;
 import org.mimosacleat.core.store.StoreLimits;
 import org.mimosacleat.core.time.PausedClock;
-import org.mimosacleat.platform.store.StorePacer;
-import org.mimosacleat.platform.store.WriteId;
-import org.mimosacleat.platform.table.Attributes;
-import org.mimosacleat.platform.table.PacedTableService;
-import org.mimosacleat.platform.table.RowCondition;
-import org.mimosacleat.platform.table.RowKey;
-import org.mimosacleat.platform.table.RowWrite;
-import org.mimosacleat.platform.table.TableService;
-import org.mimosacleat.platform.table.WriteResult;
+import org.mimosacleat.store.pacing.StorePacer;
+import org.mimosacleat.store.pacing.WriteId;
+import org.mimosacleat.store.table.Attributes;
+import org.mimosacleat.store.table.PacedTableService;
+import org.mimosacleat.store.table.RowCondition;
+import org.mimosacleat.store.table.RowKey;
+import org.mimosacleat.store.table.RowWrite;
+import org.mimosacleat.store.table.TableService;
+import org.mimosacleat.store.table.WriteResult;
 
 class PacedTableServiceTest {
   private static final long SEED = 11;
--- a/platform/src/main/java/org/mimosacleat/platform/aws/AwsFailures.java
+++ b/store/src/main/java/org/mimosacleat/store/aws/AwsFailures.java
@@ -1,4 +1,4 @@
-package org.mimosacleat.platform.aws;
+package org.mimosacleat.store.aws;
 
 import java.net.ConnectException;
 import java.util.concurrent.TimeoutException;
--- a/platform/src/main/java/org/mimosacleat/platform/aws/AwsPlatform.java
+++ b/store/src/main/java/org/mimosacleat/store/aws/AwsPlatform.java
@@ -1,16 +1,16 @@
-package org.mimosacleat.platform.aws;
+package org.mimosacleat.store.aws;
 
 import java.time.Duration;
 import java.time.InstantSource;
-import org.mimosacleat.platform.object.ObjectStore;
-import org.mimosacleat.platform.object.PacedObjectStore;
-import org.mimosacleat.platform.object.SettlingObjectStore;
-import org.mimosacleat.platform.store.StorePacer;
-import org.mimosacleat.platform.table.PacedTableService;
-import org.mimosacleat.platform.table.SettlingTableService;
-import org.mimosacleat.platform.table.TableService;
-import org.mimosacleat.platform.vmlist.ObjectVmList;
-import org.mimosacleat.platform.vmlist.VmList;
+import org.mimosacleat.store.object.ObjectStore;
+import org.mimosacleat.store.object.PacedObjectStore;
+import org.mimosacleat.store.object.SettlingObjectStore;
+import org.mimosacleat.store.pacing.StorePacer;
+import org.mimosacleat.store.table.PacedTableService;
+import org.mimosacleat.store.table.SettlingTableService;
+import org.mimosacleat.store.table.TableService;
+import org.mimosacleat.store.vmlist.ObjectVmList;
+import org.mimosacleat.store.vmlist.VmList;
 import software.amazon.awssdk.auth.credentials.AwsBasicCredentials;
 import software.amazon.awssdk.auth.credentials.StaticCredentialsProvider;
 import software.amazon.awssdk.awscore.client.builder.AwsClientBuilder;
--- a/platform/src/main/java/org/mimosacleat/platform/aws/BoundedCalls.java
+++ b/store/src/main/java/org/mimosacleat/store/aws/BoundedCalls.java
@@ -1,4 +1,4 @@
-package org.mimosacleat.platform.aws;
+package org.mimosacleat.store.aws;
 
 import io.vavr.control.Either;
 import java.time.Duration;
--- a/platform/src/main/java/org/mimosacleat/platform/aws/DynamoRequests.java
+++ b/store/src/main/java/org/mimosacleat/store/aws/DynamoRequests.java
@@ -1,10 +1,10 @@
-package org.mimosacleat.platform.aws;
+package org.mimosacleat.store.aws;
 
 import java.util.List;
 import java.util.Map;
-import org.mimosacleat.platform.table.RowCondition;
-import org.mimosacleat.platform.table.RowKey;
-import org.mimosacleat.platform.table.RowWrite;
+import org.mimosacleat.store.table.RowCondition;
+import org.mimosacleat.store.table.RowKey;
+import org.mimosacleat.store.table.RowWrite;
 import software.amazon.awssdk.services.dynamodb.model.AttributeValue;
 import software.amazon.awssdk.services.dynamodb.model.ConditionCheck;
 import software.amazon.awssdk.services.dynamodb.model.Delete;
--- a/platform/src/main/java/org/mimosacleat/platform/aws/DynamoTableService.java
+++ b/store/src/main/java/org/mimosacleat/store/aws/DynamoTableService.java
@@ -1,4 +1,4 @@
-package org.mimosacleat.platform.aws;
+package org.mimosacleat.store.aws;
 
 import io.vavr.control.Either;
 import java.time.Duration;
@@ -8,11 +8,11 @@
 import java.util.concurrent.Callable;
 import org.mimosacleat.core.error.ErrorKind;
 import org.mimosacleat.core.error.Failure;
-import org.mimosacleat.platform.table.Row;
-import org.mimosacleat.platform.table.RowKey;
-import org.mimosacleat.platform.table.RowWrite;
-import org.mimosacleat.platform.table.TableService;
-import org.mimosacleat.platform.table.WriteResult;
+import org.mimosacleat.store.table.Row;
+import org.mimosacleat.store.table.RowKey;
+import org.mimosacleat.store.table.RowWrite;
+import org.mimosacleat.store.table.TableService;
+import org.mimosacleat.store.table.WriteResult;
 import software.amazon.awssdk.services.dynamodb.DynamoDbClient;
 import software.amazon.awssdk.services.dynamodb.model.AttributeValue;
 import software.amazon.awssdk.services.dynamodb.model.CancellationReason;
@@ -23,7 +23,7 @@
 /**
  * The table service over DynamoDB. The table has the partition key {@code kind} and the sort key
  * {@code name}, both texts. It makes each call once; wrap it in a {@link
- * org.mimosacleat.platform.table.SettlingTableService}.
+ * org.mimosacleat.store.table.SettlingTableService}.
  */
 public final class DynamoTableService implements TableService {
   private static final String SERVICE = "table service";
--- a/platform/src/main/java/org/mimosacleat/platform/aws/PlatformSettings.java
+++ b/store/src/main/java/org/mimosacleat/store/aws/PlatformSettings.java
@@ -1,4 +1,4 @@
-package org.mimosacleat.platform.aws;
+package org.mimosacleat.store.aws;
 
 import static org.mimosacleat.core.settings.Setting.required;
 import static org.mimosacleat.core.settings.Setting.withDefault;
--- a/platform/src/main/java/org/mimosacleat/platform/aws/RowItems.java
+++ b/store/src/main/java/org/mimosacleat/store/aws/RowItems.java
@@ -1,12 +1,12 @@
-package org.mimosacleat.platform.aws;
+package org.mimosacleat.store.aws;
 
 import java.util.HashMap;
 import java.util.Map;
-import org.mimosacleat.platform.store.WriteId;
-import org.mimosacleat.platform.table.Attributes;
-import org.mimosacleat.platform.table.Row;
-import org.mimosacleat.platform.table.RowCondition;
-import org.mimosacleat.platform.table.RowKey;
+import org.mimosacleat.store.pacing.WriteId;
+import org.mimosacleat.store.table.Attributes;
+import org.mimosacleat.store.table.Row;
+import org.mimosacleat.store.table.RowCondition;
+import org.mimosacleat.store.table.RowKey;
 import software.amazon.awssdk.services.dynamodb.model.AttributeValue;
 
 /** How rows and conditions are written in DynamoDB items and expressions. */
--- a/platform/src/main/java/org/mimosacleat/platform/aws/S3ObjectStore.java
+++ b/store/src/main/java/org/mimosacleat/store/aws/S3ObjectStore.java
@@ -1,4 +1,4 @@
-package org.mimosacleat.platform.aws;
+package org.mimosacleat.store.aws;
 
 import io.vavr.control.Either;
 import java.nio.charset.StandardCharsets;
@@ -8,15 +8,15 @@
 import java.util.Optional;
 import org.mimosacleat.core.error.ErrorKind;
 import org.mimosacleat.core.error.Failure;
-import org.mimosacleat.platform.object.EntityTag;
-import org.mimosacleat.platform.object.ObjectKey;
-import org.mimosacleat.platform.object.ObjectPut;
-import org.mimosacleat.platform.object.ObjectRead;
-import org.mimosacleat.platform.object.ObjectStore;
-import org.mimosacleat.platform.object.PutCondition;
-import org.mimosacleat.platform.object.PutResult;
-import org.mimosacleat.platform.object.StoredObject;
-import org.mimosacleat.platform.store.WriteId;
+import org.mimosacleat.store.object.EntityTag;
+import org.mimosacleat.store.object.ObjectKey;
+import org.mimosacleat.store.object.ObjectPut;
+import org.mimosacleat.store.object.ObjectRead;
+import org.mimosacleat.store.object.ObjectStore;
+import org.mimosacleat.store.object.PutCondition;
+import org.mimosacleat.store.object.PutResult;
+import org.mimosacleat.store.object.StoredObject;
+import org.mimosacleat.store.pacing.WriteId;
 import software.amazon.awssdk.core.ResponseBytes;
 import software.amazon.awssdk.core.sync.RequestBody;
 import software.amazon.awssdk.services.s3.S3Client;
@@ -29,7 +29,7 @@
 
 /**
  * The object store over S3. It makes each call once; wrap it in a {@link
- * org.mimosacleat.platform.object.SettlingObjectStore}.
+ * org.mimosacleat.store.object.SettlingObjectStore}.
  */
 public final class S3ObjectStore implements ObjectStore {
   private static final String SERVICE = "object store";
--- a/platform/src/main/java/org/mimosacleat/platform/aws/package-info.java
+++ b/store/src/main/java/org/mimosacleat/store/aws/package-info.java
@@ -1,2 +1,2 @@
 /** Adapters to the platform through the AWS SDK: DynamoDB for the table, S3 for the objects. */
-package org.mimosacleat.platform.aws;
+package org.mimosacleat.store.aws;
--- a/platform/src/main/java/org/mimosacleat/platform/lists/ListEdit.java
+++ b/store/src/main/java/org/mimosacleat/store/lists/ListEdit.java
@@ -1,4 +1,4 @@
-package org.mimosacleat.platform.lists;
+package org.mimosacleat.store.lists;
 
 import org.mimosacleat.core.check.Checks;
 import org.mimosacleat.core.lists.ListKind;
--- a/platform/src/main/java/org/mimosacleat/platform/lists/ListFetcher.java
+++ b/store/src/main/java/org/mimosacleat/store/lists/ListFetcher.java
@@ -1,4 +1,4 @@
-package org.mimosacleat.platform.lists;
+package org.mimosacleat.store.lists;
 
 import io.vavr.control.Either;
 import java.time.Duration;
@@ -11,10 +11,10 @@
 import org.mimosacleat.core.lists.ListVersion;
 import org.mimosacleat.core.lists.ListVersions;
 import org.mimosacleat.core.lists.PublishedList;
-import org.mimosacleat.platform.object.ObjectRead;
-import org.mimosacleat.platform.object.ObjectStore;
-import org.mimosacleat.platform.table.Row;
-import org.mimosacleat.platform.table.TableService;
+import org.mimosacleat.store.object.ObjectRead;
+import org.mimosacleat.store.object.ObjectStore;
+import org.mimosacleat.store.table.Row;
+import org.mimosacleat.store.table.TableService;
 
 /**
  * Reads the lists from the platform. A poll is one query of two rows; a text is read only when its
--- a/platform/src/main/java/org/mimosacleat/platform/lists/ListHead.java
+++ b/store/src/main/java/org/mimosacleat/store/lists/ListHead.java
@@ -1,10 +1,10 @@
-package org.mimosacleat.platform.lists;
+package org.mimosacleat.store.lists;
 
 import java.util.Optional;
 import org.mimosacleat.core.lists.ListKind;
 import org.mimosacleat.core.lists.ListVersion;
-import org.mimosacleat.platform.table.Row;
-import org.mimosacleat.platform.table.RowCondition;
+import org.mimosacleat.store.table.Row;
+import org.mimosacleat.store.table.RowCondition;
 
 /**
  * The row that names the newest version of a list.
--- a/platform/src/main/java/org/mimosacleat/platform/lists/ListPublisher.java
+++ b/store/src/main/java/org/mimosacleat/store/lists/ListPublisher.java
@@ -1,4 +1,4 @@
-package org.mimosacleat.platform.lists;
+package org.mimosacleat.store.lists;
 
 import io.vavr.control.Either;
 import java.time.Duration;
@@ -13,18 +13,18 @@
 import org.mimosacleat.core.lists.ListVersion;
 import org.mimosacleat.core.lists.PublishedList;
 import org.mimosacleat.core.settings.SettingsProblem;
-import org.mimosacleat.platform.object.ObjectKey;
-import org.mimosacleat.platform.object.ObjectPut;
-import org.mimosacleat.platform.object.ObjectStore;
-import org.mimosacleat.platform.object.PutCondition;
-import org.mimosacleat.platform.object.PutResult;
-import org.mimosacleat.platform.object.SettlingObjectStore;
-import org.mimosacleat.platform.store.WriteId;
-import org.mimosacleat.platform.table.RowCondition;
-import org.mimosacleat.platform.table.RowWrite;
-import org.mimosacleat.platform.table.SettlingTableService;
-import org.mimosacleat.platform.table.TableService;
-import org.mimosacleat.platform.table.WriteResult;
+import org.mimosacleat.store.object.ObjectKey;
+import org.mimosacleat.store.object.ObjectPut;
+import org.mimosacleat.store.object.ObjectStore;
+import org.mimosacleat.store.object.PutCondition;
+import org.mimosacleat.store.object.PutResult;
+import org.mimosacleat.store.object.SettlingObjectStore;
+import org.mimosacleat.store.pacing.WriteId;
+import org.mimosacleat.store.table.RowCondition;
+import org.mimosacleat.store.table.RowWrite;
+import org.mimosacleat.store.table.SettlingTableService;
+import org.mimosacleat.store.table.TableService;
+import org.mimosacleat.store.table.WriteResult;
 
 /**
  * Makes an edit the next version of a list, if nobody else has done so since the version that it
--- a/platform/src/main/java/org/mimosacleat/platform/lists/ListRows.java
+++ b/store/src/main/java/org/mimosacleat/store/lists/ListRows.java
@@ -1,15 +1,15 @@
-package org.mimosacleat.platform.lists;
+package org.mimosacleat.store.lists;
 
 import java.util.List;
 import java.util.Optional;
 import org.mimosacleat.core.lists.ListKind;
 import org.mimosacleat.core.lists.ListVersion;
 import org.mimosacleat.core.lists.PublishedList;
-import org.mimosacleat.platform.object.ObjectKey;
-import org.mimosacleat.platform.store.WriteId;
-import org.mimosacleat.platform.table.Attributes;
-import org.mimosacleat.platform.table.Row;
-import org.mimosacleat.platform.table.RowKey;
+import org.mimosacleat.store.object.ObjectKey;
+import org.mimosacleat.store.pacing.WriteId;
+import org.mimosacleat.store.table.Attributes;
+import org.mimosacleat.store.table.Row;
+import org.mimosacleat.store.table.RowKey;
 
 /** The rows and objects that hold the lists: their names and attributes. */
 final class ListRows {
--- a/platform/src/main/java/org/mimosacleat/platform/lists/PublishResult.java
+++ b/store/src/main/java/org/mimosacleat/store/lists/PublishResult.java
@@ -1,4 +1,4 @@
-package org.mimosacleat.platform.lists;
+package org.mimosacleat.store.lists;
 
 import java.util.List;
 import org.mimosacleat.core.error.Failure;
--- a/platform/src/main/java/org/mimosacleat/platform/lists/package-info.java
+++ b/store/src/main/java/org/mimosacleat/store/lists/package-info.java
@@ -1,2 +1,2 @@
 /** Keeps the versions of the operators' lists in the platform's table and object store. */
-package org.mimosacleat.platform.lists;
+package org.mimosacleat.store.lists;
--- a/platform/src/main/java/org/mimosacleat/platform/object/ObjectKey.java
+++ b/store/src/main/java/org/mimosacleat/store/object/ObjectKey.java
@@ -1,4 +1,4 @@
-package org.mimosacleat.platform.object;
+package org.mimosacleat.store.object;
 
 import org.mimosacleat.core.check.Checks;
 
--- a/platform/src/main/java/org/mimosacleat/platform/object/ObjectStore.java
+++ b/store/src/main/java/org/mimosacleat/store/object/ObjectStore.java
@@ -1,4 +1,4 @@
-package org.mimosacleat.platform.object;
+package org.mimosacleat.store.object;
 
 import io.vavr.control.Either;
 import java.time.Duration;
--- a/platform/src/main/java/org/mimosacleat/platform/object/SettlingObjectStore.java
+++ b/store/src/main/java/org/mimosacleat/store/object/SettlingObjectStore.java
@@ -1,4 +1,4 @@
-package org.mimosacleat.platform.object;
+package org.mimosacleat.store.object;
 
 import io.vavr.control.Either;
 import java.time.Duration;
@@ -7,9 +7,9 @@
 import java.util.List;
 import java.util.Optional;
 import org.mimosacleat.core.error.Failure;
-import org.mimosacleat.platform.object.PutResult.ConditionFailed;
-import org.mimosacleat.platform.object.PutResult.Stored;
-import org.mimosacleat.platform.object.PutResult.Unknown;
+import org.mimosacleat.store.object.PutResult.ConditionFailed;
+import org.mimosacleat.store.object.PutResult.Stored;
+import org.mimosacleat.store.object.PutResult.Unknown;
 
 /**
  * Finds out what became of a put whose answer was lost, within the timeout of the call. Wrap any
--- a/platform/src/main/java/org/mimosacleat/platform/object/StoredObject.java
+++ b/store/src/main/java/org/mimosacleat/store/object/StoredObject.java
@@ -1,7 +1,7 @@
-package org.mimosacleat.platform.object;
+package org.mimosacleat.store.object;
 
 import org.mimosacleat.core.check.Checks;
-import org.mimosacleat.platform.store.WriteId;
+import org.mimosacleat.store.pacing.WriteId;
 
 /**
  * One object as it was read.
--- a/platform/src/main/java/org/mimosacleat/platform/object/package-info.java
+++ b/store/src/main/java/org/mimosacleat/store/object/package-info.java
@@ -1,2 +1,2 @@
 /** The platform's object store: texts under keys, with entity tags and conditional puts. */
-package org.mimosacleat.platform.object;
+package org.mimosacleat.store.object;
--- a/platform/src/main/java/org/mimosacleat/platform/store/StorePacer.java
+++ b/store/src/main/java/org/mimosacleat/store/pacing/StorePacer.java
@@ -1,4 +1,4 @@
-package org.mimosacleat.platform.store;
+package org.mimosacleat.store.pacing;
 
 import java.time.Duration;
 import java.time.Instant;
--- a/platform/src/main/java/org/mimosacleat/platform/store/WriteId.java
+++ b/store/src/main/java/org/mimosacleat/store/pacing/WriteId.java
@@ -1,4 +1,4 @@
-package org.mimosacleat.platform.store;
+package org.mimosacleat.store.pacing;
 
 import java.util.random.RandomGenerator;
 import org.mimosacleat.core.check.Checks;
--- a/platform/src/main/java/org/mimosacleat/platform/store/package-info.java
+++ b/store/src/main/java/org/mimosacleat/store/pacing/package-info.java
@@ -1,2 +1,2 @@
 /** What the table service and the object store have in common: write ids and pacing. */
-package org.mimosacleat.platform.store;
+package org.mimosacleat.store.pacing;
--- a/platform/src/main/java/org/mimosacleat/platform/package-info.java
+++ b/store/src/main/java/org/mimosacleat/store/package-info.java
@@ -1,2 +1,2 @@
 /** The platform's table service, object store and list of VMs: interfaces and adapters. */
-package org.mimosacleat.platform;
+package org.mimosacleat.store;
--- a/platform/src/main/java/org/mimosacleat/platform/status/StatusJson.java
+++ b/store/src/main/java/org/mimosacleat/store/status/StatusJson.java
@@ -1,4 +1,4 @@
-package org.mimosacleat.platform.status;
+package org.mimosacleat.store.status;
 
 import java.nio.charset.StandardCharsets;
 import java.util.Collection;
--- a/platform/src/main/java/org/mimosacleat/platform/status/StatusReader.java
+++ b/store/src/main/java/org/mimosacleat/store/status/StatusReader.java
@@ -1,4 +1,4 @@
-package org.mimosacleat.platform.status;
+package org.mimosacleat.store.status;
 
 import io.vavr.control.Either;
 import java.io.UncheckedIOException;
--- /dev/null
+++ b/store/src/main/java/org/mimosacleat/store/status/package-info.java
@@ -0,0 +1,2 @@
+/** The status of a proxy as JSON. */
+package org.mimosacleat.store.status;
--- a/platform/src/main/java/org/mimosacleat/platform/table/Attributes.java
+++ b/store/src/main/java/org/mimosacleat/store/table/Attributes.java
@@ -1,4 +1,4 @@
-package org.mimosacleat.platform.table;
+package org.mimosacleat.store.table;
 
 import java.time.Instant;
 import java.util.Collections;
--- a/platform/src/main/java/org/mimosacleat/platform/table/PacedTableService.java
+++ b/store/src/main/java/org/mimosacleat/store/table/PacedTableService.java
@@ -1,4 +1,4 @@
-package org.mimosacleat.platform.table;
+package org.mimosacleat.store.table;
 
 import io.vavr.control.Either;
 import java.time.Duration;
@@ -7,7 +7,7 @@
 import java.util.function.Function;
 import org.mimosacleat.core.error.ErrorKind;
 import org.mimosacleat.core.error.Failure;
-import org.mimosacleat.platform.store.StorePacer;
+import org.mimosacleat.store.pacing.StorePacer;
 
 /** Sends each call to a table service when the pacer lets it, and reports how it went. */
 public final class PacedTableService implements TableService {
--- a/platform/src/main/java/org/mimosacleat/platform/table/RowCondition.java
+++ b/store/src/main/java/org/mimosacleat/store/table/RowCondition.java
@@ -1,8 +1,8 @@
-package org.mimosacleat.platform.table;
+package org.mimosacleat.store.table;
 
 import java.util.Optional;
 import org.mimosacleat.core.check.Checks;
-import org.mimosacleat.platform.store.WriteId;
+import org.mimosacleat.store.pacing.WriteId;
 
 /** What must be true of a row at the moment of a write. */
 public sealed interface RowCondition {
--- a/platform/src/main/java/org/mimosacleat/platform/table/RowWrite.java
+++ b/store/src/main/java/org/mimosacleat/store/table/RowWrite.java
@@ -1,7 +1,7 @@
-package org.mimosacleat.platform.table;
+package org.mimosacleat.store.table;
 
 import org.mimosacleat.core.check.Checks;
-import org.mimosacleat.platform.store.WriteId;
+import org.mimosacleat.store.pacing.WriteId;
 
 /** One conditional write, alone or as part of a transaction. */
 public sealed interface RowWrite {
--- a/platform/src/main/java/org/mimosacleat/platform/table/SettlingTableService.java
+++ b/store/src/main/java/org/mimosacleat/store/table/SettlingTableService.java
@@ -1,4 +1,4 @@
-package org.mimosacleat.platform.table;
+package org.mimosacleat.store.table;
 
 import io.vavr.control.Either;
 import java.time.Duration;
@@ -7,10 +7,10 @@
 import java.util.List;
 import java.util.Optional;
 import org.mimosacleat.core.error.Failure;
-import org.mimosacleat.platform.store.WriteId;
-import org.mimosacleat.platform.table.WriteResult.Applied;
-import org.mimosacleat.platform.table.WriteResult.ConditionFailed;
-import org.mimosacleat.platform.table.WriteResult.Unknown;
+import org.mimosacleat.store.pacing.WriteId;
+import org.mimosacleat.store.table.WriteResult.Applied;
+import org.mimosacleat.store.table.WriteResult.ConditionFailed;
+import org.mimosacleat.store.table.WriteResult.Unknown;
 
 /**
  * Finds out what became of a write whose answer was lost, within the timeout of the call. Wrap any
--- a/platform/src/main/java/org/mimosacleat/platform/table/TableService.java
+++ b/store/src/main/java/org/mimosacleat/store/table/TableService.java
@@ -1,4 +1,4 @@
-package org.mimosacleat.platform.table;
+package org.mimosacleat.store.table;
 
 import io.vavr.control.Either;
 import java.time.Duration;
--- a/platform/src/main/java/org/mimosacleat/platform/table/WriteResult.java
+++ b/store/src/main/java/org/mimosacleat/store/table/WriteResult.java
@@ -1,4 +1,4 @@
-package org.mimosacleat.platform.table;
+package org.mimosacleat.store.table;
 
 import org.mimosacleat.core.check.Checks;
 import org.mimosacleat.core.error.Failure;
--- a/platform/src/main/java/org/mimosacleat/platform/table/package-info.java
+++ b/store/src/main/java/org/mimosacleat/store/table/package-info.java
@@ -1,2 +1,2 @@
 /** The platform's table service: typed rows with conditional writes and transactions. */
-package org.mimosacleat.platform.table;
+package org.mimosacleat.store.table;
--- a/platform/src/main/java/org/mimosacleat/platform/vmlist/ObjectVmList.java
+++ b/store/src/main/java/org/mimosacleat/store/vmlist/ObjectVmList.java
@@ -1,4 +1,4 @@
-package org.mimosacleat.platform.vmlist;
+package org.mimosacleat.store.vmlist;
 
 import io.vavr.control.Either;
 import java.time.Duration;
@@ -9,11 +9,11 @@
 import org.mimosacleat.core.error.Failure;
 import org.mimosacleat.core.settings.SettingsProblem;
 import org.mimosacleat.core.vmlist.VmListing;
-import org.mimosacleat.platform.object.EntityTag;
-import org.mimosacleat.platform.object.ObjectKey;
-import org.mimosacleat.platform.object.ObjectRead;
-import org.mimosacleat.platform.object.ObjectStore;
-import org.mimosacleat.platform.object.StoredObject;
+import org.mimosacleat.store.object.EntityTag;
+import org.mimosacleat.store.object.ObjectKey;
+import org.mimosacleat.store.object.ObjectRead;
+import org.mimosacleat.store.object.ObjectStore;
+import org.mimosacleat.store.object.StoredObject;
 
 /**
  * Reads the list of VMs from an object that the platform writes. It remembers the last content, so
--- a/platform/src/main/java/org/mimosacleat/platform/vmlist/VmList.java
+++ b/store/src/main/java/org/mimosacleat/store/vmlist/VmList.java
@@ -1,4 +1,4 @@
-package org.mimosacleat.platform.vmlist;
+package org.mimosacleat.store.vmlist;
 
 import io.vavr.control.Either;
 import java.time.Duration;
--- a/platform/src/main/java/org/mimosacleat/platform/vmlist/VmListText.java
+++ b/store/src/main/java/org/mimosacleat/store/vmlist/VmListText.java
@@ -1,4 +1,4 @@
-package org.mimosacleat.platform.vmlist;
+package org.mimosacleat.store.vmlist;
 
 import static org.mimosacleat.core.settings.Setting.required;
 
--- a/platform/src/main/java/org/mimosacleat/platform/vmlist/package-info.java
+++ b/store/src/main/java/org/mimosacleat/store/vmlist/package-info.java
@@ -1,2 +1,2 @@
 /** Access to the platform's list of VMs and endpoints. */
-package org.mimosacleat.platform.vmlist;
+package org.mimosacleat.store.vmlist;
