Refuse prepared statements that the session does not have

Cause: after a batch that failed half way, the client goes on using the statements whose parse was completed, while the proxy forgot all of them. The next use of such a name was passed on unprepared, and could meet another session's statement of that name on the pooled connection: any statement could then run in its place, in or outside of a transaction. Now what was completed is kept, and a name that is not known is refused with 26000 before anything is sent.

--- a/core/src/main/java/org/mimosacleat/core/error/ErrorKind.java
+++ b/core/src/main/java/org/mimosacleat/core/error/ErrorKind.java
@@ -13,6 +13,8 @@
   INVALID_SETTING("22023", Outcome.NOT_RUN, RetryAdvice.NEVER),
   /** The statement needs what a pooled connection cannot give. */
   NOT_SUPPORTED("0A000", Outcome.NOT_RUN, RetryAdvice.NEVER),
+  /** The session has no prepared statement of this name. */
+  UNKNOWN_STATEMENT("26000", Outcome.NOT_RUN, RetryAdvice.NEVER),
   /** The database is not one that the proxy knows. */
   UNKNOWN_GROUP("3D000", Outcome.NOT_RUN, RetryAdvice.NEVER),
   /** The plan of the customer does not allow this now. */
--- a/proxy/src/main/java/org/mimosacleat/proxy/caller/AnswerFilter.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/caller/AnswerFilter.java
@@ -23,4 +23,17 @@
     }
     return start == 0 ? frames : Arrays.copyOfRange(frames, start, frames.length);
   }
+
+  /** Returns how many parse frames of a batch were completed. */
+  static int countParsed(byte[] frames) {
+    int completed = 0;
+    int start = 0;
+    while (start < frames.length) {
+      if (frames[start] == BackendType.PARSE_COMPLETE) {
+        completed++;
+      }
+      start += ByteBuffer.wrap(frames, start + 1, Integer.BYTES).getInt() + 1;
+    }
+    return completed;
+  }
 }
--- a/proxy/src/main/java/org/mimosacleat/proxy/caller/BatchHandler.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/caller/BatchHandler.java
@@ -113,7 +113,7 @@
 
   private Optional<Failure> refusal(BatchPlan plan) {
     if (plan.refusal().isPresent()) {
-      return plan.refusal().map(reason -> new Failure(ErrorKind.NOT_SUPPORTED, reason));
+      return plan.refusal();
     }
     if (plan.kind() == StatementKind.SESSION_BOUND) {
       return Optional.of(
@@ -145,16 +145,18 @@
     return Optional.empty();
   }
 
-  private byte[] dispatch(BatchPlan plan) {
+  private byte[] dispatch(BatchPlan plan) throws FrameException {
     CallerTicket ticket = new CallerTicket(session.owner());
     running.set(ticket);
     try {
       Instant start = clock.instant();
-      return run(request(plan), ticket)
-          .peek(answer -> metrics.answered(Duration.between(start, clock.instant())))
-          .peekLeft(failure -> metrics.failed(failure.kind()))
-          .map(answer -> accept(plan, ticket.home(), answer))
-          .getOrElseGet(failure -> FrameWriter.encode(fail(plan, failure)));
+      Either<Failure, WorkAnswer> answer =
+          run(request(plan), ticket)
+              .peek(_ -> metrics.answered(Duration.between(start, clock.instant())))
+              .peekLeft(failure -> metrics.failed(failure.kind()));
+      return answer.isRight()
+          ? accept(plan, ticket.home(), answer.get())
+          : FrameWriter.encode(fail(plan, answer.getLeft()));
     } finally {
       running.set(null);
       if (plan.kind() == StatementKind.WRITE) {
@@ -196,18 +198,21 @@
     return FrameWriter.encode(all);
   }
 
-  private byte[] accept(BatchPlan plan, VmId home, WorkAnswer answer) {
+  private byte[] accept(BatchPlan plan, VmId home, WorkAnswer answer) throws FrameException {
     boolean open = answer.transaction() != WorkRequest.NO_TRANSACTION;
     if (open) {
       session.inTransaction(home, answer.transaction(), answer.status());
     } else {
       session.idle();
     }
-    if (!answer.hasError()) {
+    byte[] frames = AnswerFilter.withoutInjected(answer.frames(), plan.injected().size());
+    if (answer.hasError()) {
+      session.prepared().applyFirst(plan.batch(), AnswerFilter.countParsed(frames));
+    } else {
       session.prepared().apply(plan, open);
       recordSettings(plan);
     }
-    return AnswerFilter.withoutInjected(answer.frames(), plan.injected().size());
+    return frames;
   }
 
   private void recordSettings(BatchPlan plan) {
--- a/proxy/src/main/java/org/mimosacleat/proxy/caller/BatchPlan.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/caller/BatchPlan.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.mimosacleat.core.error.Failure;
 import org.mimosacleat.core.statement.StatementKind;
 import org.mimosacleat.wire.postgres.Frame;
 
@@ -24,7 +25,7 @@
     Map<String, Frame> parsed,
     List<String> closed,
     List<Frame> injected,
-    Optional<String> refusal) {
+    Optional<Failure> refusal) {
   BatchPlan {
     texts = List.copyOf(texts);
     parsed = Map.copyOf(parsed);
--- a/proxy/src/main/java/org/mimosacleat/proxy/caller/BatchPlanner.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/caller/BatchPlanner.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.mimosacleat.core.error.ErrorKind;
+import org.mimosacleat.core.error.Failure;
 import org.mimosacleat.core.statement.StatementClassifier;
 import org.mimosacleat.core.statement.StatementKind;
 import org.mimosacleat.wire.postgres.BodyBuilder;
@@ -30,7 +32,7 @@
   private final Map<String, Frame> parsed = new LinkedHashMap<>();
   private final List<String> closed = new ArrayList<>();
   private final Set<String> used = new LinkedHashSet<>();
-  private Optional<String> refusal = Optional.empty();
+  private Optional<Failure> refusal = Optional.empty();
 
   private BatchPlanner(PreparedStatements prepared) {
     this.prepared = prepared;
@@ -79,8 +81,9 @@
         }
       }
       case FrontendType.FLUSH ->
-          refusal = Optional.of("flush is not supported: end the batch with a sync");
-      case FrontendType.FUNCTION_CALL -> refusal = Optional.of("function calls are not supported");
+          refuse(ErrorKind.NOT_SUPPORTED, "flush is not supported: end the batch with a sync");
+      case FrontendType.FUNCTION_CALL ->
+          refuse(ErrorKind.NOT_SUPPORTED, "function calls are not supported");
       default -> {
         // Execute and sync hold nothing that a decision needs.
       }
@@ -97,13 +100,24 @@
       return;
     }
     Optional<Frame> known = prepared.definition(name);
-    if (known.isPresent() && used.add(name)) {
+    if (known.isEmpty()) {
+      // A pooled connection may have another session's statement of this name.
+      refuse(ErrorKind.UNKNOWN_STATEMENT, "prepared statement \"" + name + "\" does not exist");
+      return;
+    }
+    if (used.add(name)) {
       BodyReader body = new BodyReader(known.get());
       body.readString();
       addText(body.readString());
     }
   }
 
+  private void refuse(ErrorKind kind, String reason) {
+    if (refusal.isEmpty()) {
+      refusal = Optional.of(new Failure(kind, reason));
+    }
+  }
+
   private List<Frame> injected() {
     List<Frame> frames = new ArrayList<>();
     for (String name : parsed.keySet()) {
--- a/proxy/src/main/java/org/mimosacleat/proxy/caller/PreparedStatements.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/caller/PreparedStatements.java
@@ -2,10 +2,14 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.mimosacleat.wire.postgres.BodyReader;
 import org.mimosacleat.wire.postgres.Frame;
+import org.mimosacleat.wire.postgres.FrameException;
+import org.mimosacleat.wire.postgres.FrontendType;
 
 /** The prepared statements of a session, and which of them its pinned connection has. */
 final class PreparedStatements {
@@ -43,6 +47,25 @@
     plan.closed().forEach(onConnection::remove);
   }
 
+  /**
+   * Takes over the first statements that a batch has prepared before another part of it failed: a
+   * client goes on using what was completed.
+   *
+   * @param completed how many of the batch's parse frames were completed
+   */
+  void applyFirst(Batch batch, int completed) throws FrameException {
+    List<Frame> parsed =
+        batch.frames().stream()
+            .filter(frame -> frame.is(FrontendType.PARSE))
+            .limit(completed)
+            .toList();
+    for (Frame frame : parsed) {
+      String name = new BodyReader(frame).readString();
+      definitions.put(name, frame);
+      onConnection.remove(name);
+    }
+  }
+
   private void rememberInjected(Frame definition) {
     definitions.forEach(
         (name, frame) -> {
