Add the types of direct serving, and name torn transactions in the demonstration's log

serving holds statements, endpoint links and pools, the picture of the fleet and the choice of a target, without any protocol; nothing uses it yet.

--- a/core/src/main/java/org/mimosacleat/core/error/ErrorKind.java
+++ b/core/src/main/java/org/mimosacleat/core/error/ErrorKind.java
@@ -15,6 +15,16 @@
   NOT_SUPPORTED("0A000", Outcome.NOT_RUN, RetryAdvice.NEVER),
   /** The session has no prepared statement of this name. */
   UNKNOWN_STATEMENT("26000", Outcome.NOT_RUN, RetryAdvice.NEVER),
+  /** The message is larger than the proxy takes. */
+  MESSAGE_TOO_LARGE("54000", Outcome.NOT_RUN, RetryAdvice.NEVER),
+  /** The endpoint does not have the log position that the read asks for. */
+  REPLICA_BEHIND("57P03", Outcome.NOT_RUN, RetryAdvice.ANY),
+  /** The endpoint is not the primary, or the transaction may not write. */
+  NOT_PRIMARY("25006", Outcome.NOT_RUN, RetryAdvice.ANY),
+  /** Another endpoint than the expected one has the address. */
+  WRONG_ENDPOINT("08004", Outcome.NOT_RUN, RetryAdvice.ANY),
+  /** The endpoint takes no further connection. */
+  TOO_MANY_CONNECTIONS("53300", Outcome.NOT_RUN, RetryAdvice.ANY),
   /** The database is not one that the proxy knows. */
   UNKNOWN_GROUP("3D000", Outcome.NOT_RUN, RetryAdvice.NEVER),
   /** The plan of the customer does not allow this now. */
@@ -41,6 +51,8 @@
   REQUEST_IN_DOUBT("40003", Outcome.UNKNOWN, RetryAdvice.IDEMPOTENT_ONLY),
   /** The work ran, but its answer is larger than a proxy relays. */
   ANSWER_TOO_LARGE("54000", Outcome.RAN, RetryAdvice.NEVER),
+  /** The endpoint ran the statement, which failed. */
+  STATEMENT_FAILED("58000", Outcome.UNKNOWN, RetryAdvice.IDEMPOTENT_ONLY),
   /** A defect of the proxy after the work was sent. */
   INTERNAL("XX000", Outcome.UNKNOWN, RetryAdvice.IDEMPOTENT_ONLY);
 
--- a/lab/src/main/java/org/mimosacleat/lab/workload/SessionWorker.java
+++ b/lab/src/main/java/org/mimosacleat/lab/workload/SessionWorker.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
+import org.tinylog.Logger;
 
 /** Makes the requests of one session, each through a proxy chosen at random. */
 final class SessionWorker implements Runnable {
@@ -148,6 +149,7 @@
       connection.setAutoCommit(true);
       return RequestOutcome.SERVED;
     } catch (SQLException error) {
+      Logger.info("transaction {} failed, commit sent: {}: {}", id, committing, error.getMessage());
       connections.drop(proxy, OWN_DATA);
       return committing ? AnswerClassifier.classify(error) : RequestOutcome.REFUSED;
     }
--- a/lab/src/main/java/org/mimosacleat/lab/workload/Verification.java
+++ b/lab/src/main/java/org/mimosacleat/lab/workload/Verification.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.tinylog.Logger;
 
 /** Compares what is stored with what the oracle remembers. */
 final class Verification {
@@ -40,6 +41,7 @@
             .toList();
     if (parts.size() > 1) {
       torn++;
+      Logger.warn("torn transaction {}: {} copies of its rows, answered {}", key, parts, outcome);
     }
     judge(outcome, parts.stream().min(Integer::compare).orElse(0));
   }
--- /dev/null
+++ b/serving/src/main/java/org/mimosacleat/serving/endpoint/EndpointLink.java
@@ -0,0 +1,23 @@
+package org.mimosacleat.serving.endpoint;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.mimosacleat.serving.statement.Answer;
+
+/** One open connection to an endpoint. Commands are answered in the order they were sent. */
+public interface EndpointLink extends AutoCloseable {
+  /**
+   * Sends commands in one write.
+   *
+   * @return one future for each command; it fails with an {@code IOException} if the connection
+   *     ends before the answer is whole
+   */
+  List<CompletableFuture<Answer>> send(List<EndpointCommand> commands);
+
+  /** Tells whether the connection can still be used. */
+  boolean isOpen();
+
+  /** Closes the connection; the endpoint rolls back what is open. */
+  @Override
+  void close();
+}
--- /dev/null
+++ b/serving/src/main/java/org/mimosacleat/serving/endpoint/EndpointPool.java
@@ -0,0 +1,177 @@
+package org.mimosacleat.serving.endpoint;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import org.mimosacleat.core.error.ErrorKind;
+import org.mimosacleat.core.error.Failure;
+import org.mimosacleat.serving.fleet.EndpointEntry;
+
+/**
+ * The connections of this proxy to one endpoint. A session leases one for a statement or a
+ * transaction; those that wait are served in the order of their arrival.
+ */
+public final class EndpointPool {
+  private final EndpointDialer dialer;
+  private final InstantSource clock;
+  private final AtomicReference<EndpointEntry> entry;
+  private final ResizableSemaphore permits;
+  private final ConcurrentLinkedDeque<PooledLink> idle = new ConcurrentLinkedDeque<>();
+  private final AtomicInteger leased = new AtomicInteger();
+  private final AtomicBoolean closed = new AtomicBoolean();
+  private final EndpointHealth health;
+
+  /**
+   * Makes a pool without connections.
+   *
+   * @param maximumLinks the most connections it may hold
+   */
+  public EndpointPool(
+      EndpointEntry entry, EndpointDialer dialer, InstantSource clock, int maximumLinks) {
+    this.entry = new AtomicReference<>(entry);
+    this.dialer = dialer;
+    this.clock = clock;
+    this.permits = new ResizableSemaphore(maximumLinks);
+    this.health = new EndpointHealth(clock);
+  }
+
+  /** Returns what the endpoint last said of itself. */
+  public EndpointEntry entry() {
+    return entry.get();
+  }
+
+  /** Takes over what the endpoint now says of itself. */
+  public void update(EndpointEntry current) {
+    entry.set(current);
+  }
+
+  /** Changes the most connections that the pool may hold. */
+  public void resize(int maximumLinks) {
+    permits.resize(maximumLinks);
+  }
+
+  /** Returns what is known of the endpoint from its answers. */
+  public EndpointHealth health() {
+    return health;
+  }
+
+  /** Estimates how long one more statement takes here. */
+  public Duration expectedTime() {
+    return health.answerTime().multipliedBy(leased.get() + 1L + permits.waiting());
+  }
+
+  /**
+   * Leases a connection, and opens one if none is idle.
+   *
+   * @param values the session's values, by which the best idle connection is chosen
+   * @param deadline until when to wait for one
+   */
+  public Either<Failure, LeasedLink> lease(Map<String, String> values, Instant deadline) {
+    if (!acquirePermit(deadline)) {
+      return failure(
+          ErrorKind.OVERLOADED, "no connection to endpoint " + entry().id() + " became free");
+    }
+    leased.incrementAndGet();
+    PooledLink pooled = takeIdle(values);
+    if (pooled != null) {
+      return Either.right(new LeasedLink(this, pooled, clock));
+    }
+    Either<Failure, EndpointLink> dialed = dialer.dial(entry());
+    if (dialed.isLeft()) {
+      returnPermit();
+      health.failed();
+      return Either.left(dialed.getLeft());
+    }
+    health.answered();
+    return Either.right(new LeasedLink(this, new PooledLink(dialed.get()), clock));
+  }
+
+  /** Closes the idle connections now and the leased ones as they come back. */
+  public void close() {
+    closed.set(true);
+    closeIdle();
+  }
+
+  /** Closes the idle connections. */
+  public void closeIdle() {
+    PooledLink pooled = idle.poll();
+    while (pooled != null) {
+      pooled.link().close();
+      pooled = idle.poll();
+    }
+  }
+
+  void release(PooledLink pooled) {
+    if (pooled.link().isOpen() && !closed.get() && !permits.isShrinking()) {
+      idle.push(pooled);
+    } else {
+      pooled.link().close();
+    }
+    returnPermit();
+    if (closed.get()) {
+      closeIdle();
+    }
+  }
+
+  void discard(PooledLink pooled) {
+    pooled.link().close();
+    returnPermit();
+  }
+
+  void answered(Duration time) {
+    health.answered(time);
+  }
+
+  private boolean acquirePermit(Instant deadline) {
+    long wait = Math.max(0, Duration.between(clock.instant(), deadline).toNanos());
+    try {
+      return !closed.get() && permits.tryAcquire(wait, TimeUnit.NANOSECONDS);
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
+  }
+
+  private void returnPermit() {
+    leased.decrementAndGet();
+    permits.release();
+  }
+
+  /** Takes the idle connection that needs the least to become the session's own. */
+  private PooledLink takeIdle(Map<String, String> values) {
+    dropClosed();
+    PooledLink usable = null;
+    for (PooledLink candidate : idle) {
+      if (candidate.carries(values) && idle.remove(candidate)) {
+        return candidate;
+      }
+      if (usable == null && candidate.canCarry(values)) {
+        usable = candidate;
+      }
+    }
+    if (usable != null && idle.remove(usable)) {
+      return usable;
+    }
+    return idle.poll();
+  }
+
+  private void dropClosed() {
+    for (Iterator<PooledLink> links = idle.iterator(); links.hasNext(); ) {
+      if (!links.next().link().isOpen()) {
+        links.remove();
+      }
+    }
+  }
+
+  private static <T> Either<Failure, T> failure(ErrorKind kind, String detail) {
+    return Either.left(new Failure(kind, detail));
+  }
+}
--- /dev/null
+++ b/serving/src/main/java/org/mimosacleat/serving/endpoint/LeasedLink.java
@@ -0,0 +1,90 @@
+package org.mimosacleat.serving.endpoint;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.mimosacleat.serving.statement.Answer;
+import org.mimosacleat.serving.statement.PreparedShape;
+
+/** A pooled connection that one session has until it releases or discards it. */
+public final class LeasedLink {
+  private final EndpointPool pool;
+  private final PooledLink pooled;
+  private final InstantSource clock;
+  private boolean returned;
+
+  LeasedLink(EndpointPool pool, PooledLink pooled, InstantSource clock) {
+    this.pool = pool;
+    this.pooled = pooled;
+    this.clock = clock;
+  }
+
+  /**
+   * Sends commands for a session, behind what makes the connection the session's own, and waits
+   * until the last one is answered.
+   *
+   * @param values the values that the session has set
+   * @param shape the prepared statement that the commands use, if any
+   */
+  public LinkResult run(
+      Map<String, String> values,
+      Optional<PreparedShape> shape,
+      List<EndpointCommand> commands,
+      Instant deadline) {
+    List<EndpointCommand> first = pooled.prepareFor(values, shape);
+    List<EndpointCommand> all = new ArrayList<>(first);
+    all.addAll(commands);
+    Instant sentAt = clock.instant();
+    List<CompletableFuture<Answer>> pending = pooled.link().send(all);
+    List<Answer> answers = new ArrayList<>(all.size());
+    for (CompletableFuture<Answer> future : pending) {
+      Duration left = Duration.between(clock.instant(), deadline);
+      try {
+        answers.add(future.get(Math.max(0, left.toNanos()), TimeUnit.NANOSECONDS));
+      } catch (TimeoutException late) {
+        return new LinkResult.Late();
+      } catch (ExecutionException lost) {
+        return new LinkResult.Lost(String.valueOf(lost.getCause().getMessage()));
+      } catch (InterruptedException interrupted) {
+        Thread.currentThread().interrupt();
+        return new LinkResult.Lost("interrupted");
+      }
+    }
+    boolean prepared = answers.subList(0, first.size()).stream().allMatch(Answer::isDone);
+    List<Answer> own = answers.subList(first.size(), answers.size());
+    if (!prepared && own.stream().anyMatch(Answer::isDone)) {
+      return new LinkResult.Lost("the connection could not be made the session's own");
+    }
+    pool.answered(Duration.between(sentAt, clock.instant()));
+    return new LinkResult.Answered(own, sentAt);
+  }
+
+  /** Returns the endpoint's pool. */
+  public EndpointPool pool() {
+    return pool;
+  }
+
+  /** Gives the connection back; no transaction may be open on it. */
+  public void release() {
+    if (!returned) {
+      returned = true;
+      pool.release(pooled);
+    }
+  }
+
+  /** Closes the connection, which rolls back what is open on it. */
+  public void discard() {
+    if (!returned) {
+      returned = true;
+      pool.discard(pooled);
+    }
+  }
+}
--- /dev/null
+++ b/serving/src/main/java/org/mimosacleat/serving/endpoint/package-info.java
@@ -0,0 +1,2 @@
+/** Connections to endpoints, and the pools that share them between sessions. */
+package org.mimosacleat.serving.endpoint;
--- /dev/null
+++ b/serving/src/main/java/org/mimosacleat/serving/fleet/EndpointPools.java
@@ -0,0 +1,73 @@
+package org.mimosacleat.serving.fleet;
+
+import java.time.InstantSource;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import org.mimosacleat.core.id.EndpointId;
+import org.mimosacleat.core.id.GroupId;
+import org.mimosacleat.serving.endpoint.EndpointDialer;
+import org.mimosacleat.serving.endpoint.EndpointPool;
+
+/** The pools of all endpoints in the picture; an endpoint that starts anew gets a new pool. */
+public final class EndpointPools {
+  private final EndpointDialer dialer;
+  private final InstantSource clock;
+  private final FleetState fleet;
+  private final ConnectionShare share;
+  private final ConcurrentHashMap<EndpointId, EndpointPool> pools = new ConcurrentHashMap<>();
+
+  /** Makes the pools of an empty picture. */
+  public EndpointPools(
+      EndpointDialer dialer, InstantSource clock, FleetState fleet, ConnectionShare share) {
+    this.dialer = dialer;
+    this.clock = clock;
+    this.fleet = fleet;
+    this.share = share;
+  }
+
+  /** Adds an endpoint, or takes over what it now says of itself. */
+  public void put(EndpointEntry entry) {
+    EndpointPool pool =
+        pools.compute(
+            entry.id(),
+            (_, known) ->
+                known != null && known.entry().isSameStartAs(entry) ? known : replace(known, entry));
+    pool.update(entry);
+    fleet.put(entry);
+  }
+
+  /** Drops an endpoint and closes its connections as they come back. */
+  public void remove(EndpointId gone) {
+    EndpointPool pool = pools.remove(gone);
+    if (pool != null) {
+      pool.close();
+    }
+    fleet.remove(gone);
+  }
+
+  /** Returns the pool of an endpoint. */
+  public Optional<EndpointPool> find(EndpointId endpoint) {
+    return Optional.ofNullable(pools.get(endpoint));
+  }
+
+  /** Divides the connections anew, after a change of limits or of the number of proxies. */
+  public void resize() {
+    pools.values().forEach(pool -> pool.resize(linksTo(pool.entry().group())));
+  }
+
+  private EndpointPool replace(EndpointPool known, EndpointEntry entry) {
+    if (known != null) {
+      known.close();
+    }
+    return new EndpointPool(entry, dialer, clock, linksTo(entry.group()));
+  }
+
+  private int linksTo(GroupId group) {
+    return fleet
+        .picture()
+        .configuration()
+        .map(configuration -> configuration.groups().get(group))
+        .map(settings -> share.linksPerEndpoint(settings.maximumConnections()))
+        .orElse(ConnectionShare.LEAST_LINKS);
+  }
+}
--- /dev/null
+++ b/serving/src/main/java/org/mimosacleat/serving/routing/GroupView.java
@@ -0,0 +1,104 @@
+package org.mimosacleat.serving.routing;
+
+import java.time.Instant;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import org.mimosacleat.core.id.EndpointId;
+import org.mimosacleat.core.position.Position;
+import org.mimosacleat.core.position.Term;
+import org.mimosacleat.core.routing.PrimaryHistory;
+
+/** What this proxy knows of the primary of one group, and of the positions that it had. */
+public final class GroupView {
+  private final AtomicReference<Known> known =
+      new AtomicReference<>(
+          new Known(Optional.empty(), new Term(0), false, PrimaryHistory.empty(), Position.NONE));
+
+  /** Returns the endpoint that may be used as primary now. */
+  public Optional<EndpointId> primary() {
+    Known now = known.get();
+    return now.paused() ? Optional.empty() : now.primary();
+  }
+
+  /** Returns the endpoint that was primary last, whether or not it may be used now. */
+  public Optional<EndpointId> lastPrimary() {
+    return known.get().primary();
+  }
+
+  /** Returns the term of the primary. */
+  public Term term() {
+    return known.get().term();
+  }
+
+  /** Tells whether the primary is being replaced. */
+  public boolean isPaused() {
+    return known.get().paused();
+  }
+
+  /** Takes over a primary; an earlier term than the known one is ignored. */
+  public void lead(EndpointId primary, Term term) {
+    known.updateAndGet(old -> old.led(primary, term));
+  }
+
+  /** Stops the use of the primary of this term until a later one leads or it is resumed. */
+  public void pause(Term term) {
+    known.updateAndGet(old -> old.term().isAfter(term) ? old : old.paused(true));
+  }
+
+  /** Allows the use of the primary again. */
+  public void resume() {
+    known.updateAndGet(old -> old.paused(false));
+  }
+
+  /**
+   * Takes note of the end of the primary's log.
+   *
+   * @param askedAt when the statement was sent that the position came back with
+   */
+  public void sawPosition(EndpointId endpoint, Instant askedAt, Position position) {
+    known.updateAndGet(old -> old.withPosition(endpoint, askedAt, position));
+  }
+
+  /** Returns the earliest position that includes all that was acknowledged before a moment. */
+  public Optional<Position> including(Instant moment) {
+    return known.get().history().including(moment);
+  }
+
+  /** Returns the last position that the primary was seen to have. */
+  public Position lastPosition() {
+    return known.get().last();
+  }
+
+  private record Known(
+      Optional<EndpointId> primary,
+      Term term,
+      boolean paused,
+      PrimaryHistory history,
+      Position last) {
+    Known led(EndpointId leader, Term newTerm) {
+      if (term.isAfter(newTerm)) {
+        return this;
+      }
+      boolean same = term.equals(newTerm) && primary.equals(Optional.of(leader));
+      return same
+          ? new Known(primary, term, false, history, last)
+          : new Known(Optional.of(leader), newTerm, false, PrimaryHistory.empty(), Position.NONE);
+    }
+
+    Known paused(boolean nowPaused) {
+      return new Known(primary, term, nowPaused, history, last);
+    }
+
+    Known withPosition(EndpointId endpoint, Instant askedAt, Position position) {
+      if (!primary.equals(Optional.of(endpoint)) || term.isAfter(position.term())) {
+        return this;
+      }
+      return new Known(
+          primary,
+          position.term(),
+          paused,
+          history.with(askedAt, position),
+          Position.latest(last, position));
+    }
+  }
+}
--- /dev/null
+++ b/serving/src/main/java/org/mimosacleat/serving/routing/TargetChooser.java
@@ -0,0 +1,125 @@
+package org.mimosacleat.serving.routing;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.mimosacleat.core.id.EndpointId;
+import org.mimosacleat.core.id.GroupId;
+import org.mimosacleat.core.position.Position;
+import org.mimosacleat.serving.endpoint.EndpointPool;
+import org.mimosacleat.serving.fleet.EndpointEntry;
+import org.mimosacleat.serving.fleet.EndpointPools;
+import org.mimosacleat.serving.fleet.FleetState;
+import org.mimosacleat.serving.fleet.ReadPromise;
+import org.mimosacleat.serving.fleet.Route;
+
+/**
+ * Chooses the endpoint for a statement. A read that may miss the newest writes goes to the endpoint
+ * that is likely to answer first, together with a position that the endpoint's log must include:
+ * the endpoint itself refuses if it does not, so no choice made here can break the promise. All
+ * else goes to the primary.
+ */
+public final class TargetChooser {
+  /** Taken off the age that reads accept, for the way from the client and coarse clocks. */
+  private static final Duration AGE_MARGIN = Duration.ofMillis(100);
+
+  /** Writes can go nowhere else, so a read needs a reason to use the primary. */
+  private static final double PRIMARY_BURDEN = 1.5;
+
+  /** Spreads the choices of many proxies that see the same times. */
+  private static final double SPREAD = 0.3;
+
+  private final FleetState fleet;
+  private final EndpointPools pools;
+  private final GroupViews views;
+  private final RandomGenerator random;
+
+  /** Makes a chooser on the present picture. */
+  public TargetChooser(
+      FleetState fleet, EndpointPools pools, GroupViews views, RandomGenerator random) {
+    this.fleet = fleet;
+    this.pools = pools;
+    this.views = views;
+    this.random = random;
+  }
+
+  /** Returns the primary's connections. */
+  public Target forPrimary(GroupId group) {
+    return views
+        .of(group)
+        .primary()
+        .flatMap(pools::find)
+        .<Target>map(Target.Primary::new)
+        .orElseGet(Target.None::new);
+  }
+
+  /**
+   * Chooses for a read.
+   *
+   * @param ownWrites the position of the session's last write
+   * @param arrivedAt when the read, or its transaction, began
+   * @param avoided endpoints that have refused it
+   */
+  public Target forRead(
+      Route route, Position ownWrites, Instant arrivedAt, Set<EndpointId> avoided) {
+    return switch (route.promise()) {
+      case ReadPromise.Latest() -> forPrimary(route.group());
+      case ReadPromise.Bounded(Duration age) ->
+          forAge(route.group(), Position.NONE, arrivedAt.minus(age), avoided);
+      case ReadPromise.OwnWrites(Duration age) ->
+          forAge(route.group(), ownWrites, arrivedAt.minus(age), avoided);
+    };
+  }
+
+  private Target forAge(
+      GroupId group, Position ownWrites, Instant oldest, Set<EndpointId> avoided) {
+    GroupView view = views.of(group);
+    Optional<Position> others = view.including(oldest.plus(AGE_MARGIN));
+    if (others.isEmpty()) {
+      return forPrimary(group);
+    }
+    Position needed = needed(view, ownWrites, others.get());
+    return quickest(group, view, avoided)
+        .<Target>map(pool -> new Target.Fresh(pool, needed))
+        .orElseGet(() -> forPrimary(group));
+  }
+
+  /**
+   * A write of an earlier term is in the log of this one, or was lost with its primary; any
+   * position of this term stands for it.
+   */
+  private static Position needed(GroupView view, Position ownWrites, Position others) {
+    boolean earlier = view.term().isAfter(ownWrites.term());
+    return earlier ? others : Position.latest(ownWrites, others);
+  }
+
+  private Optional<EndpointPool> quickest(
+      GroupId group, GroupView view, Set<EndpointId> avoided) {
+    List<EndpointPool> usable =
+        fleet.picture().endpointsOf(group).stream()
+            .filter(entry -> !entry.draining() && !avoided.contains(entry.id()))
+            .map(EndpointEntry::id)
+            .flatMap(id -> pools.find(id).stream())
+            .filter(pool -> !pool.health().isSuspect())
+            .filter(pool -> isPrimary(view, pool) || !pool.health().isBehind())
+            .toList();
+    EndpointPool best = null;
+    double least = Double.MAX_VALUE;
+    for (EndpointPool pool : usable) {
+      double burden = isPrimary(view, pool) ? PRIMARY_BURDEN : 1;
+      double time = pool.expectedTime().toNanos() * burden * (1 + SPREAD * random.nextDouble());
+      if (time < least) {
+        least = time;
+        best = pool;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  private static boolean isPrimary(GroupView view, EndpointPool pool) {
+    return view.primary().filter(pool.entry().id()::equals).isPresent();
+  }
+}
--- /dev/null
+++ b/serving/src/main/java/org/mimosacleat/serving/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Decides which endpoint a statement goes to. */
+package org.mimosacleat.serving.routing;
--- /dev/null
+++ b/serving/src/main/java/org/mimosacleat/serving/session/package-info.java
@@ -0,0 +1,2 @@
+/** Sessions of clients: their values, prepared statements, transactions and positions. */
+package org.mimosacleat.serving.session;
--- /dev/null
+++ b/serving/src/main/java/org/mimosacleat/serving/statement/package-info.java
@@ -0,0 +1,2 @@
+/** What clients ask for, decoded. */
+package org.mimosacleat.serving.statement;
