--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Builds what runs on the users' platform, all of it under target/: the jars of the proxy in
+# target/app, a runtime with just the modules they need in target/rt, and an archive of the loaded
+# classes in target/app.jsa, which shortens the start.
+set -eu
+cd "$(dirname "$0")/.."
+java_home=$(bin/java-home)
+modules=java.base,java.logging,jdk.httpserver,jdk.net,jdk.unsupported,java.management
+
+bin/maven --quiet -Pdeploy -DskipTests -Dspotless.check.skip -Dcheckstyle.skip \
+  package dependency:copy-dependencies -DincludeScope=runtime -pl platform -am
+rm -rf target/rt target/app target/app.jsa
+mkdir -p target/app
+cp target/mimosacleat-platform/dependency/*.jar target/mimosacleat-platform/mimosacleat-*.jar target/app/
+"$java_home/bin/jlink" --add-modules "$modules" --strip-debug --no-header-files --no-man-pages \
+  --output target/rt --generate-cds-archive
--- a/serving/src/main/java/org/mimosacleat/serving/endpoint/EndpointHealth.java
+++ b/serving/src/main/java/org/mimosacleat/serving/endpoint/EndpointHealth.java
@@ -38,7 +38,9 @@
     return clock.instant().isBefore(view.get().suspectUntil());
   }
 
-  /** Tells whether the endpoint lacked a position lately, so that a read is likely to be refused. */
+  /**
+   * Tells whether the endpoint lacked a position lately, so that a read is likely to be refused.
+   */
   public boolean isBehind() {
     return clock.instant().isBefore(view.get().behindUntil());
   }
--- a/serving/src/main/java/org/mimosacleat/serving/endpoint/PooledLink.java
+++ b/serving/src/main/java/org/mimosacleat/serving/endpoint/PooledLink.java
@@ -9,9 +9,7 @@
 import java.util.Set;
 import org.mimosacleat.serving.statement.PreparedShape;
 
-/**
- * A connection of a pool with what earlier sessions left on it; used by one session at a time.
- */
+/** A connection of a pool with what earlier sessions left on it; used by one session at a time. */
 final class PooledLink {
   /** More prepared statements than this are cleared rather than kept. */
   private static final int MAXIMUM_PREPARED = 256;
--- /dev/null
+++ b/serving/src/main/java/org/mimosacleat/serving/fleet/EndpointList.java
@@ -0,0 +1,82 @@
+package org.mimosacleat.serving.fleet;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.mimosacleat.core.id.EndpointId;
+import org.mimosacleat.core.position.Term;
+import org.mimosacleat.serving.routing.GroupView;
+import org.mimosacleat.serving.routing.GroupViews;
+import org.tinylog.Logger;
+
+/**
+ * Keeps the endpoints that the list of endpoints names. One that vanishes from the list is kept for
+ * a while: after an outage of the list's store it comes back.
+ */
+public final class EndpointList {
+  /** An endpoint that lives is back in the list within about two seconds. */
+  private static final Duration KEPT_AFTER_VANISHING = Duration.ofMillis(2_500);
+
+  private final EndpointPools pools;
+  private final GroupViews views;
+  private final ScheduledExecutorService scheduler;
+  private final Map<EndpointId, EndpointEntry> present = new ConcurrentHashMap<>();
+  private final Map<EndpointId, ScheduledFuture<?>> vanishing = new ConcurrentHashMap<>();
+
+  /** Makes an empty list. */
+  public EndpointList(EndpointPools pools, GroupViews views, ScheduledExecutorService scheduler) {
+    this.pools = pools;
+    this.views = views;
+    this.scheduler = scheduler;
+  }
+
+  /** Takes over what an endpoint says of itself. */
+  public void report(EndpointEntry entry) {
+    ScheduledFuture<?> removal = vanishing.remove(entry.id());
+    if (removal != null) {
+      removal.cancel(false);
+    }
+    EndpointEntry before = present.put(entry.id(), entry);
+    if (!entry.equals(before)) {
+      Logger.info("endpoint {} reported: {}", entry.id(), entry);
+    }
+    takeAsFirstPrimary(entry);
+    pools.put(entry);
+  }
+
+  /** Takes note that the list names an endpoint no more. */
+  public void vanish(EndpointId gone) {
+    if (!present.containsKey(gone)) {
+      return;
+    }
+    vanishing.computeIfAbsent(
+        gone,
+        id ->
+            scheduler.schedule(
+                () -> remove(id), KEPT_AFTER_VANISHING.toMillis(), TimeUnit.MILLISECONDS));
+  }
+
+  /** Takes note that the list names just these endpoints. */
+  public void retain(Set<EndpointId> named) {
+    present.keySet().stream().filter(id -> !named.contains(id)).forEach(this::vanish);
+  }
+
+  private void remove(EndpointId gone) {
+    vanishing.remove(gone);
+    present.remove(gone);
+    Logger.info("endpoint {} is gone from the list", gone);
+    pools.remove(gone);
+  }
+
+  /** Until a promotion is recorded, the endpoint that takes itself for the primary is it. */
+  private void takeAsFirstPrimary(EndpointEntry entry) {
+    GroupView view = views.of(entry.group());
+    if (entry.role() == EndpointRole.PRIMARY && view.lastPrimary().isEmpty()) {
+      view.lead(entry.id(), new Term(0));
+    }
+  }
+}
--- a/serving/src/main/java/org/mimosacleat/serving/fleet/EndpointPools.java
+++ b/serving/src/main/java/org/mimosacleat/serving/fleet/EndpointPools.java
@@ -31,7 +31,9 @@
         pools.compute(
             entry.id(),
             (_, known) ->
-                known != null && known.entry().isSameStartAs(entry) ? known : replace(known, entry));
+                known != null && known.entry().isSameStartAs(entry)
+                    ? known
+                    : replace(known, entry));
     pool.update(entry);
     fleet.put(entry);
   }
--- a/serving/src/main/java/org/mimosacleat/serving/fleet/FleetPicture.java
+++ b/serving/src/main/java/org/mimosacleat/serving/fleet/FleetPicture.java
@@ -20,8 +20,7 @@
     Map<EndpointId, EndpointEntry> endpoints,
     Map<GroupId, List<EndpointEntry>> groups) {
   /** Knows nothing yet. */
-  public static final FleetPicture EMPTY =
-      new FleetPicture(Optional.empty(), Map.of(), Map.of());
+  public static final FleetPicture EMPTY = new FleetPicture(Optional.empty(), Map.of(), Map.of());
 
   /** Returns this picture with another configuration. */
   FleetPicture with(Configuration newer) {
--- a/serving/src/main/java/org/mimosacleat/serving/fleet/FleetState.java
+++ b/serving/src/main/java/org/mimosacleat/serving/fleet/FleetState.java
@@ -23,8 +23,7 @@
 
   /** Takes over a configuration, and tells whether it was newer than the present one. */
   public boolean configure(Configuration newer) {
-    FleetPicture before =
-        replace(known -> isNewer(known, newer) ? known.with(newer) : known);
+    FleetPicture before = replace(known -> isNewer(known, newer) ? known.with(newer) : known);
     return isNewer(before, newer);
   }
 
--- a/proxy/src/main/java/org/mimosacleat/proxy/log/JsonLinesWriter.java
+++ b/serving/src/main/java/org/mimosacleat/serving/log/JsonLinesWriter.java
@@ -1,4 +1,4 @@
-package org.mimosacleat.proxy.log;
+package org.mimosacleat.serving.log;
 
 import java.io.PrintWriter;
 import java.io.StringWriter;
--- /dev/null
+++ b/serving/src/main/java/org/mimosacleat/serving/log/package-info.java
@@ -0,0 +1,2 @@
+/** Log lines as JSON on standard output. */
+package org.mimosacleat.serving.log;
--- a/serving/src/main/java/org/mimosacleat/serving/routing/TargetChooser.java
+++ b/serving/src/main/java/org/mimosacleat/serving/routing/TargetChooser.java
@@ -96,8 +96,7 @@
     return earlier ? others : Position.latest(ownWrites, others);
   }
 
-  private Optional<EndpointPool> quickest(
-      GroupId group, GroupView view, Set<EndpointId> avoided) {
+  private Optional<EndpointPool> quickest(GroupId group, GroupView view, Set<EndpointId> avoided) {
     List<EndpointPool> usable =
         fleet.picture().endpointsOf(group).stream()
             .filter(entry -> !entry.draining() && !avoided.contains(entry.id()))
--- /dev/null
+++ b/serving/src/main/java/org/mimosacleat/serving/session/Attempt.java
@@ -0,0 +1,103 @@
+package org.mimosacleat.serving.session;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import org.mimosacleat.core.error.ErrorKind;
+import org.mimosacleat.core.error.Failure;
+import org.mimosacleat.core.id.GroupId;
+import org.mimosacleat.core.position.Position;
+import org.mimosacleat.serving.endpoint.EndpointCommand;
+import org.mimosacleat.serving.endpoint.EndpointPool;
+import org.mimosacleat.serving.endpoint.LeasedLink;
+import org.mimosacleat.serving.endpoint.LinkResult;
+import org.mimosacleat.serving.statement.Answer;
+import org.mimosacleat.serving.statement.PreparedShape;
+
+/** What attempts of all kinds have in common: leasing, reading answers, taking note of them. */
+final class Attempt {
+  /** A read whose answer takes this many times the usual is asked elsewhere. */
+  private static final int SILENCE_FACTOR = 12;
+
+  private static final Duration SHORTEST_SILENCE = Duration.ofMillis(300);
+
+  private final SessionParts parts;
+  private final SessionState session;
+  private final GroupId group;
+
+  Attempt(SessionParts parts, SessionState session, GroupId group) {
+    this.parts = parts;
+    this.session = session;
+    this.group = group;
+  }
+
+  /** Leases a connection; on the left the step that follows if there is none. */
+  Either<Step, LeasedLink> lease(EndpointPool pool, Instant deadline, boolean primary) {
+    Either<Failure, LeasedLink> leased = pool.lease(session.values(), deadline);
+    if (leased.isLeft()) {
+      Failure failure = leased.getLeft();
+      if (primary && failure.kind() == ErrorKind.UNAVAILABLE) {
+        doubt(pool, failure.detail());
+      }
+      return Either.left(again(failure, pool, !primary));
+    }
+    return Either.right(leased.get());
+  }
+
+  LinkResult run(
+      LeasedLink link,
+      Optional<PreparedShape> shape,
+      List<EndpointCommand> commands,
+      Instant deadline) {
+    return link.run(session.values(), shape, commands, deadline);
+  }
+
+  /** Returns until when an answer to a read is waited for before it is asked elsewhere. */
+  Instant silenceLimit(EndpointPool pool, Instant deadline) {
+    Duration usual = pool.health().answerTime().multipliedBy(SILENCE_FACTOR);
+    Duration limit = usual.compareTo(SHORTEST_SILENCE) > 0 ? usual : SHORTEST_SILENCE;
+    Instant end = parts.clock().instant().plus(limit);
+    return end.isBefore(deadline) ? end : deadline;
+  }
+
+  /** Takes note of the primary's position in an answer that only a primary gives. */
+  void sawPrimary(EndpointPool pool, Instant sentAt, Answer answer) {
+    answer
+        .position()
+        .ifPresent(
+            position -> parts.views().of(group).sawPosition(pool.entry().id(), sentAt, position));
+  }
+
+  /** Takes note of the session's own write. */
+  void wrote(Answer answer) {
+    answer.position().ifPresent(position -> session.wrote(group, position));
+  }
+
+  Position lastWrite() {
+    return session.lastWrite(group);
+  }
+
+  /** Tells of an answer that a primary does not give. */
+  void doubt(EndpointPool pool, String reason) {
+    parts.doubt().doubt(group, pool.entry().id(), reason);
+  }
+
+  /** Returns a step after which another endpoint, or the same one later, is tried. */
+  static Step again(Failure failure, EndpointPool pool, boolean elsewhere) {
+    return new Step.Again(failure, elsewhere ? Optional.of(pool.entry().id()) : Optional.empty());
+  }
+
+  static Failure lost(EndpointPool pool, String reason) {
+    return new Failure(
+        ErrorKind.CONNECTION_LOST,
+        "the connection to endpoint " + pool.entry().id() + " was lost: " + reason);
+  }
+
+  static Failure late(EndpointPool pool) {
+    return new Failure(
+        ErrorKind.DEADLINE_AFTER_START,
+        "endpoint " + pool.entry().id() + " did not answer within the statement's time");
+  }
+}
--- /dev/null
+++ b/serving/src/main/java/org/mimosacleat/serving/session/OpenTransaction.java
@@ -0,0 +1,284 @@
+package org.mimosacleat.serving.session;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.mimosacleat.core.connection.TransactionStatus;
+import org.mimosacleat.core.error.ErrorKind;
+import org.mimosacleat.core.error.Failure;
+import org.mimosacleat.core.position.Position;
+import org.mimosacleat.serving.endpoint.EndpointCommand;
+import org.mimosacleat.serving.endpoint.EndpointPool;
+import org.mimosacleat.serving.endpoint.LeasedLink;
+import org.mimosacleat.serving.endpoint.LinkResult;
+import org.mimosacleat.serving.fleet.ReadPromise;
+import org.mimosacleat.serving.fleet.Route;
+import org.mimosacleat.serving.routing.Target;
+import org.mimosacleat.serving.statement.Answer;
+
+/**
+ * The transaction that a session has open. It begins on an endpoint with its first statement, so
+ * that a client that rests after BEGIN holds nothing, and keeps that connection to its end.
+ */
+final class OpenTransaction {
+  private static final Duration ROLLBACK_TIMEOUT = Duration.ofMillis(500);
+
+  private final SessionParts parts;
+  private final SessionState session;
+  private final Route route;
+  private final boolean readOnly;
+  private final Attempt attempt;
+  private LeasedLink link;
+  private boolean onPrimary;
+  private boolean wrote;
+  private boolean failed;
+
+  OpenTransaction(SessionParts parts, SessionState session, Route route, boolean readOnly) {
+    this.parts = parts;
+    this.session = session;
+    this.route = route;
+    this.readOnly = readOnly;
+    this.attempt = new Attempt(parts, session, route.group());
+  }
+
+  TransactionStatus status() {
+    return failed ? TransactionStatus.FAILED : TransactionStatus.IN_TRANSACTION;
+  }
+
+  /** Runs a statement of the transaction. */
+  Answer run(Forwarded statement) {
+    if (failed) {
+      return refuse(ErrorKind.PROTOCOL_VIOLATION, "the transaction has failed; roll it back");
+    }
+    if (readOnly && statement.writes()) {
+      return refuse(ErrorKind.NOT_PRIMARY, "the transaction may not write");
+    }
+    Answer answer = link == null ? first(statement) : next(statement);
+    if (!answer.isDone()) {
+      failed = true;
+      return answer.withStatus(TransactionStatus.FAILED);
+    }
+    wrote = wrote || statement.writes();
+    return answer.withStatus(TransactionStatus.IN_TRANSACTION);
+  }
+
+  /** Commits; whatever the answer, the transaction is over. */
+  Answer commit(Forwarded statement) {
+    if (failed) {
+      rollback();
+      return Answer.failed(
+          new Failure(ErrorKind.TRANSACTION_LOST, "the transaction had failed; it is rolled back"),
+          TransactionStatus.IDLE);
+    }
+    Answer answer = link == null ? first(statement) : finish(statement);
+    end();
+    return answer.withStatus(TransactionStatus.IDLE);
+  }
+
+  /** Rolls back but stays open, failed, until the client ends it. */
+  void abort() {
+    failed = true;
+    rollback();
+  }
+
+  /** Rolls back; the transaction is over. */
+  void rollback() {
+    if (link == null) {
+      return;
+    }
+    rollBackOn(link);
+    link = null;
+  }
+
+  private Answer refuse(ErrorKind kind, String detail) {
+    failed = true;
+    return Answer.failed(new Failure(kind, detail), TransactionStatus.FAILED);
+  }
+
+  /** Finds an endpoint and begins there; until a statement has succeeded this may be repeated. */
+  private Answer first(Forwarded statement) {
+    Instant arrivedAt = parts.clock().instant();
+    Instant deadline = arrivedAt.plus(route.statementTimeout());
+    return parts
+        .loop()
+        .run(
+            route,
+            arrivedAt,
+            avoided ->
+                mayUseReplica()
+                    ? parts.chooser().forRead(route, attempt.lastWrite(), arrivedAt, avoided)
+                    : parts.chooser().forPrimary(route.group()),
+            target -> begin(statement, target, deadline));
+  }
+
+  private boolean mayUseReplica() {
+    return readOnly && !(route.promise() instanceof ReadPromise.Latest);
+  }
+
+  /** Begins, and runs the first statement only once that is answered: it must not run outside. */
+  private Step begin(Forwarded statement, Target target, Instant deadline) {
+    EndpointPool pool = target.usedPool().orElseThrow();
+    Optional<Position> after =
+        target instanceof Target.Fresh(EndpointPool same, Position position)
+            ? Optional.of(position)
+            : Optional.empty();
+    boolean leads = after.isEmpty();
+    Either<Step, LeasedLink> leased = attempt.lease(pool, deadline, leads);
+    if (leased.isLeft()) {
+      return leased.getLeft();
+    }
+    LeasedLink taken = leased.get();
+    List<EndpointCommand> begin = List.of(new EndpointCommand.Begin(!leads, after));
+    LinkResult begun = attempt.run(taken, Optional.empty(), begin, deadline);
+    if (!(begun instanceof LinkResult.Answered answered)) {
+      return unanswered(taken, leads, begun);
+    }
+    if (!answered.last().isDone()) {
+      taken.release();
+      return refused(taken.pool(), leads, answered.last().failure().orElseThrow());
+    }
+    List<EndpointCommand> first = List.of(statement.command(Optional.empty()));
+    LinkResult result = attempt.run(taken, statement.shape(), first, deadline);
+    return result instanceof LinkResult.Answered ran
+        ? begun(taken, leads, ran)
+        : unanswered(taken, leads, result);
+  }
+
+  private Step begun(LeasedLink taken, boolean leads, LinkResult.Answered answered) {
+    Answer answer = answered.last();
+    if (answer.isDone()) {
+      link = taken;
+      onPrimary = leads;
+      noted(answered, answer);
+      return new Step.Final(answer);
+    }
+    rollBackOn(taken);
+    return refused(taken.pool(), leads, answer.failure().orElseThrow());
+  }
+
+  private Step refused(EndpointPool pool, boolean leads, Failure failure) {
+    return switch (failure.kind()) {
+      case NOT_PRIMARY -> {
+        attempt.doubt(pool, failure.detail());
+        yield Attempt.again(failure, pool, false);
+      }
+      case REPLICA_BEHIND -> {
+        pool.health().behind();
+        yield Attempt.again(failure, pool, !leads);
+      }
+      case OVERLOADED, UNKNOWN_STATEMENT -> Attempt.again(failure, pool, !leads);
+      default -> new Step.Final(Answer.failed(failure, TransactionStatus.FAILED));
+    };
+  }
+
+  /** Nothing was committed, so the transaction may begin anew elsewhere. */
+  private Step unanswered(LeasedLink taken, boolean leads, LinkResult result) {
+    EndpointPool pool = taken.pool();
+    taken.discard();
+    if (result instanceof LinkResult.Lost(String reason)) {
+      unreachable(pool, leads, reason);
+      return Attempt.again(notKept(Attempt.lost(pool, reason)), pool, !leads);
+    }
+    unreachable(pool, leads, "silent");
+    return new Step.Final(Answer.failed(notKept(Attempt.late(pool)), TransactionStatus.FAILED));
+  }
+
+  private Answer next(Forwarded statement) {
+    Instant deadline = parts.clock().instant().plus(route.statementTimeout());
+    List<EndpointCommand> commands = List.of(statement.command(Optional.empty()));
+    return switch (attempt.run(link, statement.shape(), commands, deadline)) {
+      case LinkResult.Answered answered -> {
+        noted(answered, answered.last());
+        yield answered.last();
+      }
+      case LinkResult.Lost(String reason) -> gone(Attempt.lost(link.pool(), reason));
+      case LinkResult.Late late -> gone(Attempt.late(link.pool()));
+    };
+  }
+
+  private Answer finish(Forwarded statement) {
+    Instant deadline = parts.clock().instant().plus(route.statementTimeout());
+    List<EndpointCommand> commands = List.of(statement.command(Optional.empty()));
+    return switch (attempt.run(link, Optional.empty(), commands, deadline)) {
+      case LinkResult.Answered answered -> {
+        noted(answered, answered.last());
+        if (answered.last().isDone() && wrote) {
+          attempt.wrote(answered.last());
+        }
+        yield answered.last();
+      }
+      case LinkResult.Lost(String reason) -> uncertain(Attempt.lost(link.pool(), reason));
+      case LinkResult.Late late -> uncertain(Attempt.late(link.pool()));
+    };
+  }
+
+  /** A commit without an answer may have happened, unless there was nothing to commit. */
+  private Answer uncertain(Failure failure) {
+    EndpointPool pool = link.pool();
+    link.discard();
+    link = null;
+    unreachable(pool, onPrimary, failure.detail());
+    return Answer.failed(wrote ? failure : notKept(failure), TransactionStatus.IDLE);
+  }
+
+  private Answer gone(Failure failure) {
+    EndpointPool pool = link.pool();
+    link.discard();
+    link = null;
+    unreachable(pool, onPrimary, failure.detail());
+    return Answer.failed(notKept(failure), TransactionStatus.FAILED);
+  }
+
+  /** The commit was never sent, so nothing of the transaction is kept. */
+  private static Failure notKept(Failure failure) {
+    return new Failure(ErrorKind.TRANSACTION_LOST, failure.detail());
+  }
+
+  private void unreachable(EndpointPool pool, boolean leads, String reason) {
+    if (leads) {
+      attempt.doubt(pool, reason);
+    } else {
+      pool.health().failed();
+    }
+  }
+
+  private void noted(LinkResult.Answered answered, Answer answer) {
+    if (onPrimary && answer.isDone()) {
+      attempt.sawPrimary(link.pool(), answered.sentAt(), answer);
+    }
+  }
+
+  private void end() {
+    if (link != null) {
+      rollBackUnlessIdle();
+      link = null;
+    }
+  }
+
+  private void rollBackUnlessIdle() {
+    if (failed) {
+      rollBackOn(link);
+    } else {
+      link.release();
+    }
+  }
+
+  private void rollBackOn(LeasedLink open) {
+    Instant deadline = parts.clock().instant().plus(ROLLBACK_TIMEOUT);
+    LinkResult result =
+        open.run(
+            Map.copyOf(session.values()),
+            Optional.empty(),
+            List.of(new EndpointCommand.Rollback()),
+            deadline);
+    boolean done = result instanceof LinkResult.Answered answered && answered.last().isDone();
+    if (done) {
+      open.release();
+    } else {
+      open.discard();
+    }
+  }
+}
--- /dev/null
+++ b/serving/src/main/java/org/mimosacleat/serving/session/Session.java
@@ -0,0 +1,145 @@
+package org.mimosacleat.serving.session;
+
+import java.util.Optional;
+import org.mimosacleat.core.connection.TransactionStatus;
+import org.mimosacleat.core.error.ErrorKind;
+import org.mimosacleat.core.error.Failure;
+import org.mimosacleat.serving.fleet.Configuration;
+import org.mimosacleat.serving.fleet.DatabaseName;
+import org.mimosacleat.serving.fleet.Route;
+import org.mimosacleat.serving.statement.Answer;
+import org.mimosacleat.serving.statement.ClientStatement;
+import org.mimosacleat.serving.statement.PreparedShape;
+import org.mimosacleat.serving.statement.StatementBody;
+
+/**
+ * One client's session, from its start to its end. Statements are executed one after the other, by
+ * one thread at a time; what needs no endpoint is answered here.
+ */
+public final class Session implements AutoCloseable {
+  private final SessionParts parts;
+  private final DatabaseName database;
+  private final SessionState state = new SessionState();
+  private final SingleStatements singles;
+  private OpenTransaction transaction;
+
+  Session(SessionParts parts, DatabaseName database) {
+    this.parts = parts;
+    this.database = database;
+    this.singles = new SingleStatements(parts, state);
+  }
+
+  /** Returns the transaction status that the client was told last. */
+  public TransactionStatus status() {
+    return transaction == null ? TransactionStatus.IDLE : transaction.status();
+  }
+
+  /** Executes one statement and waits for its answer. */
+  public Answer execute(ClientStatement statement) {
+    return switch (statement.body()) {
+      case StatementBody.Begin(boolean readOnly) -> begin(readOnly);
+      case StatementBody.Commit commit -> commit(statement);
+      case StatementBody.Rollback rollback -> rollback();
+      case StatementBody.Read read -> forward(new Forwarded(statement, false, Optional.empty()));
+      case StatementBody.Write write -> forward(new Forwarded(statement, true, Optional.empty()));
+      case StatementBody.SetValue(String name, String value) ->
+          local(state.setValue(name, value), "a session may set so many values only");
+      case StatementBody.Prepare(String name, PreparedShape shape) ->
+          local(state.prepare(name, shape), "a session may prepare so many statements only");
+      case StatementBody.Execute(String name, String arguments) -> executePrepared(statement, name);
+      case StatementBody.Deallocate(String name) -> deallocate(name);
+      case StatementBody.Malformed(String reason) -> fail(ErrorKind.PROTOCOL_VIOLATION, reason);
+    };
+  }
+
+  /** Rolls back a transaction that has rested for too long; its client learns it next. */
+  public void abortIdleTransaction() {
+    if (transaction != null) {
+      transaction.abort();
+    }
+  }
+
+  /** Ends the session and rolls back what is open. */
+  @Override
+  public void close() {
+    if (transaction != null) {
+      transaction.rollback();
+      transaction = null;
+    }
+  }
+
+  private Answer begin(boolean readOnly) {
+    if (transaction != null) {
+      return fail(ErrorKind.PROTOCOL_VIOLATION, "a transaction is open already");
+    }
+    Optional<Route> route = route();
+    if (route.isEmpty()) {
+      return unknownDatabase();
+    }
+    transaction = new OpenTransaction(parts, state, route.get(), readOnly);
+    return Answer.done(TransactionStatus.IN_TRANSACTION);
+  }
+
+  private Answer commit(ClientStatement statement) {
+    if (transaction == null) {
+      return fail(ErrorKind.PROTOCOL_VIOLATION, "no transaction is open");
+    }
+    Answer answer = transaction.commit(new Forwarded(statement, false, Optional.empty()));
+    transaction = null;
+    return answer;
+  }
+
+  private Answer rollback() {
+    if (transaction == null) {
+      return fail(ErrorKind.PROTOCOL_VIOLATION, "no transaction is open");
+    }
+    transaction.rollback();
+    transaction = null;
+    return Answer.done(TransactionStatus.IDLE);
+  }
+
+  private Answer executePrepared(ClientStatement statement, String name) {
+    return state
+        .shape(name)
+        .map(shape -> forward(new Forwarded(statement, shape.writes(), Optional.of(shape))))
+        .orElseGet(() -> unknownStatement(name));
+  }
+
+  private Answer deallocate(String name) {
+    return state.deallocate(name) ? Answer.done(status()) : unknownStatement(name);
+  }
+
+  private Answer forward(Forwarded statement) {
+    if (transaction != null) {
+      return transaction.run(statement);
+    }
+    return route().map(route -> singles.run(statement, route)).orElseGet(this::unknownDatabase);
+  }
+
+  private Optional<Route> route() {
+    return parts
+        .fleet()
+        .picture()
+        .configuration()
+        .flatMap((Configuration configuration) -> configuration.route(database));
+  }
+
+  private Answer local(boolean done, String refusal) {
+    if (status() == TransactionStatus.FAILED) {
+      return fail(ErrorKind.PROTOCOL_VIOLATION, "the transaction has failed; roll it back");
+    }
+    return done ? Answer.done(status()) : fail(ErrorKind.NOT_SUPPORTED, refusal);
+  }
+
+  private Answer unknownStatement(String name) {
+    return fail(ErrorKind.UNKNOWN_STATEMENT, "no statement is prepared as " + name);
+  }
+
+  private Answer unknownDatabase() {
+    return fail(ErrorKind.UNKNOWN_GROUP, "no route has database " + database);
+  }
+
+  private Answer fail(ErrorKind kind, String detail) {
+    return Answer.failed(new Failure(kind, detail), status());
+  }
+}
--- a/serving/src/main/java/org/mimosacleat/serving/session/SessionState.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/SessionState.java
@@ -3,8 +3,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import org.mimosacleat.core.position.Position;
 import org.mimosacleat.core.id.GroupId;
+import org.mimosacleat.core.position.Position;
 import org.mimosacleat.serving.statement.PreparedShape;
 
 /** What a session keeps between statements; used by the session's thread alone. */
--- /dev/null
+++ b/serving/src/main/java/org/mimosacleat/serving/session/Sessions.java
@@ -0,0 +1,74 @@
+package org.mimosacleat.serving.session;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.mimosacleat.core.error.ErrorKind;
+import org.mimosacleat.core.error.Failure;
+import org.mimosacleat.core.time.Sleeper;
+import org.mimosacleat.serving.fleet.Configuration;
+import org.mimosacleat.serving.fleet.DatabaseName;
+import org.mimosacleat.serving.fleet.FleetState;
+import org.mimosacleat.serving.routing.GroupViews;
+import org.mimosacleat.serving.routing.PrimaryDoubt;
+import org.mimosacleat.serving.routing.TargetChooser;
+
+/** Opens the sessions of a proxy. */
+public final class Sessions {
+  /** Clients wait two seconds for the start of a session. */
+  private static final Duration LONGEST_START = Duration.ofMillis(1_500);
+
+  private static final Duration START_CHECK_INTERVAL = Duration.ofMillis(20);
+
+  private final SessionParts parts;
+  private final Sleeper sleeper;
+
+  /** Takes what all sessions share. */
+  public Sessions(
+      FleetState fleet,
+      GroupViews views,
+      TargetChooser chooser,
+      PrimaryDoubt doubt,
+      InstantSource clock,
+      RandomGenerator random,
+      Sleeper sleeper) {
+    this.sleeper = sleeper;
+    this.parts =
+        new SessionParts(
+            fleet, views, chooser, new AttemptLoop(fleet, clock, random, sleeper), doubt, clock);
+  }
+
+  /** Opens a session on a database, if a route has it; waits for the first configuration. */
+  public Either<Failure, Session> open(DatabaseName database) {
+    Optional<Configuration> configuration = awaitConfiguration();
+    if (configuration.isEmpty()) {
+      return Either.left(new Failure(ErrorKind.UNAVAILABLE, "the proxy has no configuration yet"));
+    }
+    if (configuration.get().route(database).isEmpty()) {
+      return Either.left(new Failure(ErrorKind.UNKNOWN_GROUP, "no route has database " + database));
+    }
+    return Either.right(new Session(parts, database));
+  }
+
+  /** Returns how long a transaction may rest between two statements. */
+  public Duration transactionIdleLimit() {
+    return parts
+        .fleet()
+        .picture()
+        .configuration()
+        .map(Configuration::transactionIdleLimit)
+        .orElse(LONGEST_START);
+  }
+
+  private Optional<Configuration> awaitConfiguration() {
+    Instant limit = parts.clock().instant().plus(LONGEST_START);
+    while (parts.fleet().picture().configuration().isEmpty()
+        && parts.clock().instant().isBefore(limit)) {
+      sleeper.sleep(START_CHECK_INTERVAL);
+    }
+    return parts.fleet().picture().configuration();
+  }
+}
