--- a/serving/src/main/java/org/mimosacleat/serving/endpoint/EndpointPool.java
+++ b/serving/src/main/java/org/mimosacleat/serving/endpoint/EndpointPool.java
@@ -6,6 +6,8 @@
 import java.time.InstantSource;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -25,6 +27,7 @@
   private final AtomicReference<EndpointEntry> entry;
   private final ResizableSemaphore permits;
   private final ConcurrentLinkedDeque<PooledLink> idle = new ConcurrentLinkedDeque<>();
+  private final Set<PooledLink> inUse = ConcurrentHashMap.newKeySet();
   private final AtomicInteger leased = new AtomicInteger();
   private final AtomicBoolean closed = new AtomicBoolean();
   private final EndpointHealth health;
@@ -82,7 +85,7 @@
     leased.incrementAndGet();
     PooledLink pooled = takeIdle(values);
     if (pooled != null) {
-      return Either.right(new LeasedLink(this, pooled, clock));
+      return Either.right(use(pooled));
     }
     Either<Failure, EndpointLink> dialed = dialer.dial(entry());
     if (dialed.isLeft()) {
@@ -91,7 +94,7 @@
       return Either.left(dialed.getLeft());
     }
     health.answered();
-    return Either.right(new LeasedLink(this, new PooledLink(dialed.get()), clock));
+    return Either.right(use(new PooledLink(dialed.get())));
   }
 
   /** Closes the idle connections now and the leased ones as they come back. */
@@ -109,7 +112,14 @@
     }
   }
 
+  /** Closes all connections, also those in use, so that no answer comes from them any more. */
+  public void abandon() {
+    closeIdle();
+    inUse.forEach(pooled -> pooled.link().close());
+  }
+
   void release(PooledLink pooled) {
+    inUse.remove(pooled);
     if (pooled.link().isOpen() && !closed.get() && !permits.isShrinking()) {
       idle.push(pooled);
     } else {
@@ -122,6 +132,7 @@
   }
 
   void discard(PooledLink pooled) {
+    inUse.remove(pooled);
     pooled.link().close();
     returnPermit();
   }
@@ -130,6 +141,11 @@
     health.answered(time);
   }
 
+  private LeasedLink use(PooledLink pooled) {
+    inUse.add(pooled);
+    return new LeasedLink(this, pooled, clock);
+  }
+
   private boolean acquirePermit(Instant deadline) {
     long wait = Math.max(0, Duration.between(clock.instant(), deadline).toNanos());
     try {
--- a/serving/src/main/java/org/mimosacleat/serving/endpoint/LeasedLink.java
+++ b/serving/src/main/java/org/mimosacleat/serving/endpoint/LeasedLink.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.mimosacleat.core.connection.TransactionStatus;
 import org.mimosacleat.serving.statement.Answer;
 import org.mimosacleat.serving.statement.PreparedShape;
 
@@ -19,6 +20,7 @@
   private final EndpointPool pool;
   private final PooledLink pooled;
   private final InstantSource clock;
+  private boolean inTransaction;
   private boolean returned;
 
   LeasedLink(EndpointPool pool, PooledLink pooled, InstantSource clock) {
@@ -42,7 +44,7 @@
     List<EndpointCommand> first = pooled.prepareFor(values, shape);
     List<EndpointCommand> all = new ArrayList<>(first);
     all.addAll(commands);
-    Instant sentAt = clock.instant();
+    final Instant sentAt = clock.instant();
     List<CompletableFuture<Answer>> pending = pooled.link().send(all);
     List<Answer> answers = new ArrayList<>(all.size());
     for (CompletableFuture<Answer> future : pending) {
@@ -63,6 +65,7 @@
     if (!prepared && own.stream().anyMatch(Answer::isDone)) {
       return new LinkResult.Lost("the connection could not be made the session's own");
     }
+    inTransaction = answers.getLast().status() != TransactionStatus.IDLE;
     pool.answered(Duration.between(sentAt, clock.instant()));
     return new LinkResult.Answered(own, sentAt);
   }
@@ -72,8 +75,11 @@
     return pool;
   }
 
-  /** Gives the connection back; no transaction may be open on it. */
+  /** Gives the connection back, or closes it if a transaction is open on it. */
   public void release() {
+    if (inTransaction) {
+      discard();
+    }
     if (!returned) {
       returned = true;
       pool.release(pooled);
--- a/serving/src/main/java/org/mimosacleat/serving/fleet/EndpointList.java
+++ b/serving/src/main/java/org/mimosacleat/serving/fleet/EndpointList.java
@@ -23,14 +23,20 @@
 
   private final EndpointPools pools;
   private final GroupViews views;
+  private final GroupListener groups;
   private final ScheduledExecutorService scheduler;
   private final Map<EndpointId, EndpointEntry> present = new ConcurrentHashMap<>();
   private final Map<EndpointId, ScheduledFuture<?>> vanishing = new ConcurrentHashMap<>();
 
   /** Makes an empty list. */
-  public EndpointList(EndpointPools pools, GroupViews views, ScheduledExecutorService scheduler) {
+  public EndpointList(
+      EndpointPools pools,
+      GroupViews views,
+      GroupListener groups,
+      ScheduledExecutorService scheduler) {
     this.pools = pools;
     this.views = views;
+    this.groups = groups;
     this.scheduler = scheduler;
   }
 
@@ -46,6 +52,9 @@
     }
     takeAsFirstPrimary(entry);
     pools.put(entry);
+    if (!entry.equals(before)) {
+      groups.endpointsChanged(entry.group());
+    }
   }
 
   /** Takes note that the list names an endpoint no more. */
@@ -67,9 +76,12 @@
 
   private void remove(EndpointId gone) {
     vanishing.remove(gone);
-    present.remove(gone);
+    EndpointEntry last = present.remove(gone);
     Logger.info("endpoint {} is gone from the list", gone);
     pools.remove(gone);
+    if (last != null) {
+      groups.endpointsChanged(last.group());
+    }
   }
 
   /** Until a promotion is recorded, the endpoint that takes itself for the primary is it. */
--- /dev/null
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/EndpointAdministration.java
@@ -0,0 +1,18 @@
+package org.mimosacleat.serving.promotion;
+
+import io.vavr.control.Either;
+import org.mimosacleat.core.error.Failure;
+import org.mimosacleat.core.position.Term;
+import org.mimosacleat.serving.fleet.EndpointEntry;
+
+/**
+ * Asks endpoints about their role and changes it, each time over a connection of its own. A failure
+ * of kind {@code UNAVAILABLE} means that the endpoint could not be reached.
+ */
+public interface EndpointAdministration {
+  /** Asks for role, term and position. */
+  Either<Failure, EndpointStatus> status(EndpointEntry endpoint);
+
+  /** Makes a primary of a lower term a replica; others stay what they are. */
+  Either<Failure, EndpointStatus> demote(EndpointEntry endpoint, Term term);
+}
--- a/serving/src/main/java/org/mimosacleat/serving/routing/TargetChooser.java
+++ b/serving/src/main/java/org/mimosacleat/serving/routing/TargetChooser.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 import org.mimosacleat.core.id.EndpointId;
 import org.mimosacleat.core.id.GroupId;
@@ -35,14 +36,24 @@
   private final FleetState fleet;
   private final EndpointPools pools;
   private final GroupViews views;
+  private final BooleanSupplier mayUsePrimaries;
   private final RandomGenerator random;
 
-  /** Makes a chooser on the present picture. */
+  /**
+   * Makes a chooser on the present picture.
+   *
+   * @param mayUsePrimaries whether this proxy's word on who leads still counts
+   */
   public TargetChooser(
-      FleetState fleet, EndpointPools pools, GroupViews views, RandomGenerator random) {
+      FleetState fleet,
+      EndpointPools pools,
+      GroupViews views,
+      BooleanSupplier mayUsePrimaries,
+      RandomGenerator random) {
     this.fleet = fleet;
     this.pools = pools;
     this.views = views;
+    this.mayUsePrimaries = mayUsePrimaries;
     this.random = random;
   }
 
@@ -51,6 +62,7 @@
     return views
         .of(group)
         .primary()
+        .filter(_ -> mayUsePrimaries.getAsBoolean())
         .flatMap(pools::find)
         .<Target>map(Target.Primary::new)
         .orElseGet(Target.None::new);
--- a/serving/src/main/java/org/mimosacleat/serving/session/AttemptLoop.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/AttemptLoop.java
@@ -113,7 +113,8 @@
     }
   }
 
-  private boolean pause(Instant until) {
+  /** Pauses for a moment; false if that would last beyond a time. */
+  boolean pause(Instant until) {
     long nanoseconds = random.nextLong(SHORTEST_PAUSE.toNanos(), LONGEST_PAUSE.toNanos());
     if (!clock.instant().plusNanos(nanoseconds).isBefore(until)) {
       return false;
--- a/serving/src/main/java/org/mimosacleat/serving/session/OpenTransaction.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/OpenTransaction.java
@@ -74,6 +74,9 @@
           TransactionStatus.IDLE);
     }
     Answer answer = link == null ? first(statement) : finish(statement);
+    if (link != null && answer.status() != TransactionStatus.IDLE) {
+      rollback();
+    }
     end();
     return answer.withStatus(TransactionStatus.IDLE);
   }
@@ -187,9 +190,7 @@
   }
 
   private Answer next(Forwarded statement) {
-    Instant deadline = parts.clock().instant().plus(route.statementTimeout());
-    List<EndpointCommand> commands = List.of(statement.command(Optional.empty()));
-    return switch (attempt.run(link, statement.shape(), commands, deadline)) {
+    return switch (runUnlessBusy(statement)) {
       case LinkResult.Answered answered -> {
         noted(answered, answered.last());
         yield answered.last();
@@ -199,10 +200,26 @@
     };
   }
 
-  private Answer finish(Forwarded statement) {
-    Instant deadline = parts.clock().instant().plus(route.statementTimeout());
+  /** Sends a statement again while the endpoint has no slot for it and keeps the transaction. */
+  private LinkResult runUnlessBusy(Forwarded statement) {
+    Instant now = parts.clock().instant();
+    Instant deadline = now.plus(route.statementTimeout());
     List<EndpointCommand> commands = List.of(statement.command(Optional.empty()));
-    return switch (attempt.run(link, Optional.empty(), commands, deadline)) {
+    LinkResult result = attempt.run(link, statement.shape(), commands, deadline);
+    while (wasBusy(result) && parts.loop().pause(deadline)) {
+      result = attempt.run(link, statement.shape(), commands, deadline);
+    }
+    return result;
+  }
+
+  private static boolean wasBusy(LinkResult result) {
+    return result instanceof LinkResult.Answered answered
+        && answered.last().hasFailed(ErrorKind.OVERLOADED)
+        && answered.last().status() == TransactionStatus.IN_TRANSACTION;
+  }
+
+  private Answer finish(Forwarded statement) {
+    return switch (runUnlessBusy(statement)) {
       case LinkResult.Answered answered -> {
         noted(answered, answered.last());
         if (answered.last().isDone() && wrote) {
@@ -253,16 +270,8 @@
 
   private void end() {
     if (link != null) {
-      rollBackUnlessIdle();
-      link = null;
-    }
-  }
-
-  private void rollBackUnlessIdle() {
-    if (failed) {
-      rollBackOn(link);
-    } else {
       link.release();
+      link = null;
     }
   }
 
