--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -14,3 +14,8 @@
 cp target/mimosacleat-platform/dependency/*.jar target/mimosacleat-platform/mimosacleat-*.jar target/app/
 "$java_home/bin/jlink" --add-modules "$modules" --strip-debug --no-header-files --no-man-pages \
   --output target/rt --generate-cds-archive
+
+# The class path and the options must be the same here and in system.toml, or the archive is refused.
+printf -- '-cp %s\n' "$(printf '%s\n' target/app/*.jar | paste -sd:)" > target/app/classpath
+target/rt/bin/java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:ArchiveClassesAtExit=target/app.jsa \
+  @target/app/classpath org.mimosacleat.platform.Main load-classes > target/app/load-classes.log 2>&1
--- a/serving/src/main/java/org/mimosacleat/serving/endpoint/EndpointHealth.java
+++ b/serving/src/main/java/org/mimosacleat/serving/endpoint/EndpointHealth.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.concurrent.atomic.AtomicReference;
+import org.mimosacleat.core.position.Position;
 
 /** What is known of an endpoint from its answers and silences, rather than from its reports. */
 public final class EndpointHealth {
@@ -20,7 +21,15 @@
     this.clock = clock;
     this.view =
         new AtomicReference<>(
-            new View(FIRST_ESTIMATE, Instant.MIN, Instant.MIN, Instant.MIN, 0, 0));
+            new View(
+                FIRST_ESTIMATE,
+                Instant.MIN,
+                Instant.MIN,
+                0,
+                Position.NONE,
+                Position.NONE,
+                Instant.MIN,
+                0));
   }
 
   /** Returns how long a statement takes here, smoothed. */
@@ -38,11 +47,12 @@
     return clock.instant().isBefore(view.get().suspectUntil());
   }
 
-  /**
-   * Tells whether the endpoint lacked a position lately, so that a read is likely to be refused.
-   */
-  public boolean isBehind() {
-    return clock.instant().isBefore(view.get().behindUntil());
+  /** Tells whether the endpoint is likely to lack a position, so that a read would be refused. */
+  public boolean lacks(Position needed) {
+    View known = view.get();
+    return !known.seen().includes(needed)
+        && needed.includes(known.lacked())
+        && clock.instant().isBefore(known.behindUntil());
   }
 
   /** Takes note that the endpoint could not be reached or went silent. */
@@ -52,9 +62,9 @@
   }
 
   /** Takes note that the endpoint lacked a position. */
-  public void behind() {
+  public void lacked(Position position) {
     Instant now = clock.instant();
-    view.updateAndGet(known -> known.behind(now));
+    view.updateAndGet(known -> known.lacked(position, now));
   }
 
   void answered() {
@@ -67,9 +77,9 @@
     view.updateAndGet(known -> known.answered(smoothed(known.answerTime(), time), now));
   }
 
-  /** Takes note that the endpoint had the position of a read. */
-  public void caughtUp() {
-    view.updateAndGet(View::caughtUp);
+  /** Takes note of the end of the endpoint's log. */
+  public void sawPosition(Position position) {
+    view.updateAndGet(known -> known.at(position));
   }
 
   private static Duration smoothed(Duration known, Duration latest) {
@@ -82,27 +92,48 @@
       Duration answerTime,
       Instant lastAnswerAt,
       Instant suspectUntil,
-      Instant behindUntil,
       int failures,
+      Position seen,
+      Position lacked,
+      Instant behindUntil,
       int lags) {
     View answered(Duration time, Instant now) {
-      return new View(time, now, Instant.MIN, behindUntil, 0, lags);
+      return new View(time, now, Instant.MIN, 0, seen, lacked, behindUntil, lags);
     }
 
     View failed(Instant now) {
       Duration pause = SHORTEST_AVOIDANCE.multipliedBy(1L << Math.min(failures, MOST_DOUBLINGS));
-      return new View(answerTime, lastAnswerAt, now.plus(pause), behindUntil, failures + 1, lags);
+      return new View(
+          answerTime, lastAnswerAt, now.plus(pause), failures + 1, seen, lacked, behindUntil, lags);
     }
 
-    View behind(Instant now) {
+    View lacked(Position position, Instant now) {
       Duration pause = SHORTEST_LAG_PAUSE.multipliedBy(1L << Math.min(lags, MOST_DOUBLINGS));
-      return new View(answerTime, lastAnswerAt, suspectUntil, now.plus(pause), failures, lags + 1);
+      return new View(
+          answerTime,
+          lastAnswerAt,
+          suspectUntil,
+          failures,
+          seen,
+          position,
+          now.plus(pause),
+          lags + 1);
     }
 
-    View caughtUp() {
-      return lags == 0
-          ? this
-          : new View(answerTime, lastAnswerAt, suspectUntil, Instant.MIN, failures, 0);
+    View at(Position position) {
+      if (seen.includes(position)) {
+        return this;
+      }
+      int lagsLeft = position.includes(lacked) ? 0 : lags;
+      return new View(
+          answerTime,
+          lastAnswerAt,
+          suspectUntil,
+          failures,
+          position,
+          lacked,
+          behindUntil,
+          lagsLeft);
     }
   }
 }
--- a/serving/src/main/java/org/mimosacleat/serving/endpoint/LeasedLink.java
+++ b/serving/src/main/java/org/mimosacleat/serving/endpoint/LeasedLink.java
@@ -66,6 +66,7 @@
       return new LinkResult.Lost("the connection could not be made the session's own");
     }
     inTransaction = answers.getLast().status() != TransactionStatus.IDLE;
+    answers.getLast().position().ifPresent(pool.health()::sawPosition);
     pool.answered(Duration.between(sentAt, clock.instant()));
     return new LinkResult.Answered(own, sentAt);
   }
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/GroupGuard.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/GroupGuard.java
@@ -33,6 +33,7 @@
   private static final Duration LONGEST_FIRST_STAGGER = Duration.ofMillis(1_500);
   private static final Duration PAUSE_AFTER_FAILURE = Duration.ofMillis(600);
   private static final Duration BETWEEN_PROBES = Duration.ofMillis(150);
+  private static final Duration MOST_DELAY = Duration.ofMillis(60);
   private static final int PROBES_BEFORE_LOST = 2;
 
   /** How long a group without any primary waits for one to report itself. */
@@ -152,6 +153,14 @@
     }
   }
 
+  /** A proxy that gets no processor time takes its own delay for that of others. */
+  private boolean wasHeldUp() {
+    Instant before = parts.clock().instant();
+    parts.sleeper().sleep(BETWEEN_PROBES);
+    Duration waited = Duration.between(before, parts.clock().instant());
+    return waited.minus(BETWEEN_PROBES).compareTo(MOST_DELAY) > 0;
+  }
+
   /** The endpoints themselves have told of a later term than the record that has come so far. */
   private void followLeader(RecordedPrimary recorded, Optional<String> reason) {
     if (reason.isPresent()) {
@@ -202,11 +211,8 @@
         }
         return;
       }
-      if (status.getLeft().kind() == ErrorKind.OVERLOADED) {
-        return;
-      }
-      parts.sleeper().sleep(BETWEEN_PROBES);
-      if (hasChanged(recorded)) {
+      boolean unreachable = status.getLeft().kind() == ErrorKind.UNAVAILABLE;
+      if (!unreachable || wasHeldUp() || hasChanged(recorded)) {
         return;
       }
     }
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryReplacement.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryReplacement.java
@@ -3,7 +3,6 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -183,7 +182,7 @@
       Optional<Candidate> best =
           candidates.stream()
               .filter(candidate -> !refused.contains(candidate.entry().id()))
-              .max(Comparator.comparing(candidate -> candidate.status().received()));
+              .max(Candidate.BEST_LAST);
       boolean ready =
           best.isPresent()
               && (best.get().status().received().includes(atLeast)
--- a/serving/src/main/java/org/mimosacleat/serving/routing/TargetChooser.java
+++ b/serving/src/main/java/org/mimosacleat/serving/routing/TargetChooser.java
@@ -94,7 +94,7 @@
       return forPrimary(group);
     }
     Position needed = needed(view, ownWrites, others.get());
-    return quickest(group, view, avoided)
+    return quickest(group, view, needed, avoided)
         .<Target>map(pool -> new Target.Fresh(pool, needed))
         .orElseGet(() -> forPrimary(group));
   }
@@ -108,14 +108,15 @@
     return earlier ? others : Position.latest(ownWrites, others);
   }
 
-  private Optional<EndpointPool> quickest(GroupId group, GroupView view, Set<EndpointId> avoided) {
+  private Optional<EndpointPool> quickest(
+      GroupId group, GroupView view, Position needed, Set<EndpointId> avoided) {
     List<EndpointPool> usable =
         fleet.picture().endpointsOf(group).stream()
             .filter(entry -> !entry.draining() && !avoided.contains(entry.id()))
             .map(EndpointEntry::id)
             .flatMap(id -> pools.find(id).stream())
             .filter(pool -> !pool.health().isSuspect())
-            .filter(pool -> isPrimary(view, pool) || !pool.health().isBehind())
+            .filter(pool -> isPrimary(view, pool) || !pool.health().lacks(needed))
             .toList();
     EndpointPool best = null;
     double least = Double.MAX_VALUE;
--- a/serving/src/main/java/org/mimosacleat/serving/session/OpenTransaction.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/OpenTransaction.java
@@ -141,35 +141,36 @@
     }
     if (!answered.last().isDone()) {
       taken.release();
-      return refused(taken.pool(), leads, answered.last().failure().orElseThrow());
+      return refused(taken.pool(), after, answered.last().failure().orElseThrow());
     }
     List<EndpointCommand> first = List.of(statement.command(Optional.empty()));
     LinkResult result = attempt.run(taken, statement.shape(), first, deadline);
     return result instanceof LinkResult.Answered ran
-        ? begun(taken, leads, ran)
+        ? begun(taken, after, ran)
         : unanswered(taken, leads, result);
   }
 
-  private Step begun(LeasedLink taken, boolean leads, LinkResult.Answered answered) {
+  private Step begun(LeasedLink taken, Optional<Position> after, LinkResult.Answered answered) {
     Answer answer = answered.last();
     if (answer.isDone()) {
       link = taken;
-      onPrimary = leads;
+      onPrimary = after.isEmpty();
       noted(answered, answer);
       return new Step.Final(answer);
     }
     rollBackOn(taken);
-    return refused(taken.pool(), leads, answer.failure().orElseThrow());
+    return refused(taken.pool(), after, answer.failure().orElseThrow());
   }
 
-  private Step refused(EndpointPool pool, boolean leads, Failure failure) {
+  private Step refused(EndpointPool pool, Optional<Position> after, Failure failure) {
+    boolean leads = after.isEmpty();
     return switch (failure.kind()) {
       case NOT_PRIMARY -> {
         attempt.doubt(pool, failure.detail());
         yield Attempt.again(failure, pool, false);
       }
       case REPLICA_BEHIND -> {
-        pool.health().behind();
+        after.ifPresent(pool.health()::lacked);
         yield Attempt.again(failure, pool, !leads);
       }
       case OVERLOADED, UNKNOWN_STATEMENT -> Attempt.again(failure, pool, !leads);
--- a/serving/src/main/java/org/mimosacleat/serving/session/SingleStatements.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/SingleStatements.java
@@ -156,7 +156,7 @@
     List<EndpointCommand> commands = List.of(statement.command(Optional.of(after)));
     Instant limit = attempt.silenceLimit(pool, deadline);
     return switch (attempt.run(link, statement.shape(), commands, limit)) {
-      case LinkResult.Answered answered -> readFresh(link, answered.last());
+      case LinkResult.Answered answered -> readFresh(link, after, answered.last());
       case LinkResult.Lost(String reason) -> {
         link.discard();
         pool.health().failed();
@@ -170,11 +170,10 @@
     };
   }
 
-  private static Step readFresh(LeasedLink link, Answer answer) {
+  private static Step readFresh(LeasedLink link, Position after, Answer answer) {
     EndpointPool pool = link.pool();
     if (answer.isDone()) {
       link.release();
-      pool.health().caughtUp();
       return new Step.Final(answer);
     }
     Failure failure = answer.failure().orElseThrow();
@@ -184,7 +183,7 @@
     }
     link.release();
     if (failure.kind() == ErrorKind.REPLICA_BEHIND) {
-      pool.health().behind();
+      pool.health().lacked(after);
     }
     return Attempt.again(failure, pool, true);
   }
