--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryReplacement.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryReplacement.java
@@ -260,10 +260,16 @@
     return claim.record().primary().map(id -> parts.fleet().picture().endpoints().get(id));
   }
 
+  /** The old primary is a candidate only if it is the last endpoint left. */
   private List<Candidate> candidates() {
-    return survey.ask(
+    List<EndpointEntry> staying =
         parts.fleet().picture().endpointsOf(group).stream()
             .filter(entry -> !entry.draining())
-            .toList());
+            .toList();
+    List<EndpointEntry> others =
+        staying.stream()
+            .filter(entry -> !claim.record().primary().equals(Optional.of(entry.id())))
+            .toList();
+    return survey.ask(others.isEmpty() ? staying : others);
   }
 }
--- /dev/null
+++ b/serving/src/test/java/org/mimosacleat/serving/FakeDialer.java
@@ -0,0 +1,31 @@
+package org.mimosacleat.serving;
+
+import io.vavr.control.Either;
+import java.util.HashMap;
+import java.util.Map;
+import org.mimosacleat.core.error.ErrorKind;
+import org.mimosacleat.core.error.Failure;
+import org.mimosacleat.core.id.EndpointId;
+import org.mimosacleat.serving.endpoint.EndpointDialer;
+import org.mimosacleat.serving.endpoint.EndpointLink;
+import org.mimosacleat.serving.fleet.EndpointEntry;
+
+/** Connects to fake endpoints. */
+public final class FakeDialer implements EndpointDialer {
+  private final Map<EndpointId, FakeEndpoint> endpoints = new HashMap<>();
+
+  /** Connects to these endpoints. */
+  public FakeDialer(FakeEndpoint... all) {
+    for (FakeEndpoint endpoint : all) {
+      endpoints.put(endpoint.id(), endpoint);
+    }
+  }
+
+  @Override
+  public Either<Failure, EndpointLink> dial(EndpointEntry entry) {
+    FakeEndpoint endpoint = endpoints.get(entry.id());
+    return endpoint.reachable
+        ? Either.right(endpoint.connect())
+        : Either.left(new Failure(ErrorKind.UNAVAILABLE, "unreachable"));
+  }
+}
--- /dev/null
+++ b/serving/src/test/java/org/mimosacleat/serving/FakeEndpoint.java
@@ -0,0 +1,192 @@
+package org.mimosacleat.serving;
+
+import java.io.EOFException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.mimosacleat.core.connection.TransactionStatus;
+import org.mimosacleat.core.error.ErrorKind;
+import org.mimosacleat.core.error.Failure;
+import org.mimosacleat.core.id.AvailabilityZone;
+import org.mimosacleat.core.id.EndpointId;
+import org.mimosacleat.core.id.GroupId;
+import org.mimosacleat.core.position.LogPosition;
+import org.mimosacleat.core.position.Position;
+import org.mimosacleat.core.position.Term;
+import org.mimosacleat.serving.endpoint.EndpointCommand;
+import org.mimosacleat.serving.endpoint.EndpointLink;
+import org.mimosacleat.serving.fleet.EndpointEntry;
+import org.mimosacleat.serving.fleet.EndpointRole;
+import org.mimosacleat.serving.statement.Answer;
+
+/** An endpoint in memory with a role, a log position and scripted refusals. */
+public final class FakeEndpoint {
+  /** The group of all fakes. */
+  public static final GroupId GROUP = new GroupId("lending");
+
+  /** What clients' statements ran here, with a mark where they ran outside of a transaction. */
+  public final List<String> ran = new ArrayList<>();
+
+  /** All commands in order of arrival. */
+  public final List<EndpointCommand> commands = new ArrayList<>();
+
+  public EndpointRole role;
+  public Term term = new Term(1);
+  public long number = 10;
+  public boolean reachable = true;
+  public boolean breaksAfterRun;
+
+  private final EndpointId id;
+  private final long startedAt;
+  private final Deque<ErrorKind> refusals = new ArrayDeque<>();
+
+  /** Makes an endpoint. */
+  public FakeEndpoint(String id, EndpointRole role, long startedAt) {
+    this.id = new EndpointId(id);
+    this.role = role;
+    this.startedAt = startedAt;
+  }
+
+  /** Refuses the next statements of clients with these kinds, one each. */
+  public void refuse(ErrorKind... kinds) {
+    refusals.addAll(List.of(kinds));
+  }
+
+  /** Returns its name. */
+  public EndpointId id() {
+    return id;
+  }
+
+  /** Returns the end of its log. */
+  public Position position() {
+    return new Position(term, new LogPosition(number));
+  }
+
+  /** Returns what it says of itself. */
+  public EndpointEntry entry() {
+    return entry(false);
+  }
+
+  /** Returns what it says of itself. */
+  public EndpointEntry entry(boolean draining) {
+    return new EndpointEntry(
+        id,
+        GROUP,
+        InetSocketAddress.createUnresolved(id.value(), 1),
+        new AvailabilityZone("a"),
+        3,
+        draining,
+        role,
+        startedAt);
+  }
+
+  EndpointLink connect() {
+    return new Link();
+  }
+
+  /** One connection with its transaction. */
+  private final class Link implements EndpointLink {
+    private TransactionStatus status = TransactionStatus.IDLE;
+    private boolean plain;
+    private boolean open = true;
+
+    @Override
+    public List<CompletableFuture<Answer>> send(List<EndpointCommand> sent) {
+      List<CompletableFuture<Answer>> answers = new ArrayList<>();
+      for (EndpointCommand command : sent) {
+        commands.add(command);
+        answers.add(open ? answer(command) : broken());
+      }
+      return answers;
+    }
+
+    @Override
+    public boolean isOpen() {
+      return open;
+    }
+
+    @Override
+    public void close() {
+      open = false;
+    }
+
+    private CompletableFuture<Answer> broken() {
+      return CompletableFuture.failedFuture(new EOFException("closed"));
+    }
+
+    private CompletableFuture<Answer> answer(EndpointCommand command) {
+      return switch (command) {
+        case EndpointCommand.Begin begin -> begin(begin);
+        case EndpointCommand.Run run -> run(run.text(), run.after());
+        case EndpointCommand.RunPrepared run -> run("EXEC " + run.arguments(), run.after());
+        case EndpointCommand.Rollback rollback -> end();
+        default -> done();
+      };
+    }
+
+    private CompletableFuture<Answer> begin(EndpointCommand.Begin begin) {
+      if (lacks(begin.after())) {
+        return failed(ErrorKind.REPLICA_BEHIND);
+      }
+      if (!begin.readOnly() && role == EndpointRole.REPLICA) {
+        return failed(ErrorKind.NOT_PRIMARY);
+      }
+      plain = !begin.readOnly();
+      status = TransactionStatus.IN_TRANSACTION;
+      return done();
+    }
+
+    private CompletableFuture<Answer> run(String text, Optional<Position> after) {
+      ErrorKind refusal = refusals.poll();
+      if (refusal != null) {
+        return failed(refusal);
+      }
+      if (lacks(after)) {
+        return failed(ErrorKind.REPLICA_BEHIND);
+      }
+      boolean writes = text.startsWith("WRITE");
+      if (role == EndpointRole.REPLICA && (writes || plain)) {
+        return failed(ErrorKind.NOT_PRIMARY);
+      }
+      ran.add(status == TransactionStatus.IDLE ? text : "in transaction: " + text);
+      number += writes ? 1 : 0;
+      if (breaksAfterRun) {
+        open = false;
+        return broken();
+      }
+      return text.startsWith("COMMIT") ? end() : signed();
+    }
+
+    private boolean lacks(Optional<Position> after) {
+      return after.filter(needed -> !position().includes(needed)).isPresent();
+    }
+
+    private CompletableFuture<Answer> end() {
+      status = TransactionStatus.IDLE;
+      plain = false;
+      return signed();
+    }
+
+    private CompletableFuture<Answer> signed() {
+      return answered(Optional.of("signed by " + id), Optional.empty());
+    }
+
+    private CompletableFuture<Answer> done() {
+      return answered(Optional.of("-"), Optional.empty());
+    }
+
+    private CompletableFuture<Answer> failed(ErrorKind kind) {
+      return answered(Optional.empty(), Optional.of(new Failure(kind, "scripted")));
+    }
+
+    private CompletableFuture<Answer> answered(
+        Optional<String> signature, Optional<Failure> failure) {
+      return CompletableFuture.completedFuture(
+          new Answer(List.of(), signature, failure, status, Optional.of(position())));
+    }
+  }
+}
--- /dev/null
+++ b/serving/src/test/java/org/mimosacleat/serving/ServingFixture.java
@@ -0,0 +1,118 @@
+package org.mimosacleat.serving;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.mimosacleat.core.position.Term;
+import org.mimosacleat.core.time.PausedClock;
+import org.mimosacleat.serving.fleet.Configuration;
+import org.mimosacleat.serving.fleet.ConnectionShare;
+import org.mimosacleat.serving.fleet.DatabaseName;
+import org.mimosacleat.serving.fleet.EndpointPools;
+import org.mimosacleat.serving.fleet.EndpointRole;
+import org.mimosacleat.serving.fleet.FleetState;
+import org.mimosacleat.serving.fleet.GroupSettings;
+import org.mimosacleat.serving.fleet.ReadPromise;
+import org.mimosacleat.serving.fleet.Route;
+import org.mimosacleat.serving.routing.GroupView;
+import org.mimosacleat.serving.routing.GroupViews;
+import org.mimosacleat.serving.routing.TargetChooser;
+import org.mimosacleat.serving.session.Session;
+import org.mimosacleat.serving.session.Sessions;
+import org.mimosacleat.serving.statement.Answer;
+import org.mimosacleat.serving.statement.ClientStatement;
+import org.mimosacleat.serving.statement.StatementBody;
+import org.mimosacleat.serving.statement.StatementId;
+
+/** A proxy's serving parts over one primary and one replica in memory. */
+public final class ServingFixture {
+  /** Reads see everything. */
+  public static final DatabaseName LATEST = new DatabaseName("latest");
+
+  /** Reads may be two seconds old, but not older than the session's writes. */
+  public static final DatabaseName OWN = new DatabaseName("own");
+
+  private static final Duration AGE = Duration.ofSeconds(2);
+  private static final int CONNECTIONS = 40;
+
+  public final PausedClock clock = new PausedClock();
+  public final FakeEndpoint primary = new FakeEndpoint("p", EndpointRole.PRIMARY, 1);
+  public final FakeEndpoint replica = new FakeEndpoint("r", EndpointRole.REPLICA, 2);
+  public final FleetState fleet = new FleetState();
+  public final GroupViews views = new GroupViews();
+  public final EndpointPools pools =
+      new EndpointPools(new FakeDialer(primary, replica), clock, fleet, new ConnectionShare(13));
+  public final List<String> doubts = new ArrayList<>();
+  public boolean mayUsePrimaries = true;
+  public final TargetChooser chooser =
+      new TargetChooser(fleet, pools, views, () -> mayUsePrimaries, new Random(1));
+
+  private final Sessions sessions =
+      new Sessions(
+          fleet,
+          views,
+          chooser,
+          (_, endpoint, reason) -> doubts.add(endpoint + ": " + reason),
+          clock,
+          new Random(1),
+          clock::advance);
+  private int statements;
+
+  /** Makes a proxy that knows its configuration, its endpoints and their primary. */
+  public ServingFixture() {
+    fleet.configure(
+        new Configuration(
+            1,
+            Map.of(
+                LATEST, route(LATEST, new ReadPromise.Latest()),
+                OWN, route(OWN, new ReadPromise.OwnWrites(AGE))),
+            Map.of(FakeEndpoint.GROUP, new GroupSettings(FakeEndpoint.GROUP, CONNECTIONS, 0)),
+            Duration.ofSeconds(3)));
+    pools.put(primary.entry());
+    pools.put(replica.entry());
+    view().lead(primary.id(), new Term(1));
+  }
+
+  /** Returns what is known of the primary. */
+  public GroupView view() {
+    return views.of(FakeEndpoint.GROUP);
+  }
+
+  /** Opens a session. */
+  public Session session(DatabaseName database) {
+    return sessions.open(database).get();
+  }
+
+  /** Executes a statement. */
+  public Answer execute(Session session, StatementBody body, String text) {
+    statements++;
+    return session.execute(new ClientStatement(new StatementId("s" + statements), text, body));
+  }
+
+  /** Executes a read. */
+  public Answer read(Session session) {
+    return execute(session, new StatementBody.Read(), "READ a");
+  }
+
+  /** Executes a write. */
+  public Answer write(Session session) {
+    return execute(session, new StatementBody.Write(), "WRITE a 1");
+  }
+
+  /** Begins a transaction. */
+  public Answer begin(Session session, boolean readOnly) {
+    return execute(session, new StatementBody.Begin(readOnly), "BEGIN");
+  }
+
+  /** Commits a transaction. */
+  public Answer commit(Session session) {
+    return execute(session, new StatementBody.Commit(), "COMMIT");
+  }
+
+  private static Route route(DatabaseName database, ReadPromise promise) {
+    return new Route(
+        database, FakeEndpoint.GROUP, promise, Duration.ofSeconds(1), Duration.ofMillis(200), 1);
+  }
+}
--- /dev/null
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/FakeGroup.java
@@ -0,0 +1,55 @@
+package org.mimosacleat.serving.promotion;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import org.mimosacleat.core.error.ErrorKind;
+import org.mimosacleat.core.error.Failure;
+import org.mimosacleat.core.id.EndpointId;
+import org.mimosacleat.core.id.GroupId;
+import org.mimosacleat.core.id.VmId;
+import org.mimosacleat.core.position.Term;
+import org.mimosacleat.serving.FakeEndpoint;
+import org.mimosacleat.serving.fleet.EndpointEntry;
+import org.mimosacleat.serving.fleet.EndpointRole;
+
+/** Endpoints in memory that can be asked, demoted and promoted. */
+final class FakeGroup implements EndpointAdministration, PromotionCall {
+  final List<FakeEndpoint> endpoints;
+  final List<String> orders = new ArrayList<>();
+
+  FakeGroup(List<FakeEndpoint> endpoints) {
+    this.endpoints = endpoints;
+  }
+
+  @Override
+  public Either<Failure, EndpointStatus> status(EndpointEntry entry) {
+    FakeEndpoint endpoint = find(entry.id());
+    return endpoint.reachable
+        ? Either.right(new EndpointStatus(endpoint.role, endpoint.term, endpoint.position()))
+        : Either.left(new Failure(ErrorKind.UNAVAILABLE, "unreachable"));
+  }
+
+  @Override
+  public Either<Failure, EndpointStatus> demote(EndpointEntry entry, Term term) {
+    FakeEndpoint endpoint = find(entry.id());
+    if (endpoint.reachable && term.isAfter(endpoint.term)) {
+      endpoint.role = EndpointRole.REPLICA;
+      orders.add("demote " + entry.id());
+    }
+    return status(entry);
+  }
+
+  @Override
+  public Result promote(GroupId group, EndpointId id, VmId holder, long token) {
+    FakeEndpoint endpoint = find(id);
+    endpoint.role = EndpointRole.PRIMARY;
+    endpoint.term = new Term(2);
+    orders.add("promote " + id + " by " + holder + " token " + token);
+    return Result.TAKEN;
+  }
+
+  private FakeEndpoint find(EndpointId id) {
+    return endpoints.stream().filter(known -> known.id().equals(id)).findFirst().orElseThrow();
+  }
+}
--- /dev/null
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/FakeRecords.java
@@ -0,0 +1,73 @@
+package org.mimosacleat.serving.promotion;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.mimosacleat.core.id.GroupId;
+import org.mimosacleat.core.id.VmId;
+
+/** Shared records in memory, with a clock and outages. */
+final class FakeRecords implements SharedRecords {
+  final List<PrimaryRecord> written = new ArrayList<>();
+  final Map<VmId, ProxyRecord> proxies = new HashMap<>();
+  final List<StopRecord> stops = new ArrayList<>();
+  Optional<RecordedPrimary> primary = Optional.empty();
+  long storeMillis = 1_000_000;
+  boolean down;
+  private long version = 100;
+
+  @Override
+  public Either<RecordFailure, Long> writePrimary(PrimaryRecord record, long expectedVersion) {
+    if (down) {
+      return Either.left(RecordFailure.NOT_DONE);
+    }
+    if (primary.map(RecordedPrimary::version).orElse(0L) != expectedVersion) {
+      return Either.left(RecordFailure.CONFLICT);
+    }
+    primary = Optional.of(new RecordedPrimary(record, ++version));
+    written.add(record);
+    return Either.right(version);
+  }
+
+  @Override
+  public Either<RecordFailure, List<RecordedPrimary>> readPrimaries() {
+    return answer(primary.stream().toList());
+  }
+
+  @Override
+  public Either<RecordFailure, Long> writeStop(StopRecord stop) {
+    stops.add(stop);
+    return answer(++version);
+  }
+
+  @Override
+  public Either<RecordFailure, List<StopRecord>> readStops(GroupId group) {
+    return answer(List.copyOf(stops));
+  }
+
+  @Override
+  public Either<RecordFailure, Long> renewProxy(ProxyRecord proxy) {
+    if (!down) {
+      proxies.put(proxy.proxy(), proxy);
+    }
+    return answer(++version);
+  }
+
+  @Override
+  public Either<RecordFailure, Long> removeProxy(VmId proxy) {
+    proxies.remove(proxy);
+    return answer(++version);
+  }
+
+  @Override
+  public Either<RecordFailure, ProxyList> readProxies() {
+    return answer(new ProxyList(List.copyOf(proxies.values()), storeMillis));
+  }
+
+  private <T> Either<RecordFailure, T> answer(T value) {
+    return down ? Either.left(RecordFailure.NOT_DONE) : Either.right(value);
+  }
+}
--- /dev/null
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/ProxyLeaseTest.java
@@ -0,0 +1,76 @@
+package org.mimosacleat.serving.promotion;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+import org.mimosacleat.core.id.VmId;
+import org.mimosacleat.core.time.PausedClock;
+
+class ProxyLeaseTest {
+  private static final VmId SELF = new VmId("self");
+
+  private final PausedClock clock = new PausedClock();
+  private final PausedClock wallClock = new PausedClock();
+  private final FakeRecords records = new FakeRecords();
+  private final ProxyLease lease = new ProxyLease(SELF, records, clock, wallClock);
+
+  @Test
+  void isNotHeldBeforeItsFirstRenewal() {
+    assertFalse(lease.isHeld());
+  }
+
+  @Test
+  void outlivesAnOutageOfTheStoreAndThenRunsOut() {
+    lease.renew();
+    records.down = true;
+
+    pass(Duration.ofSeconds(13));
+    assertTrue(lease.renew().isLeft());
+    assertTrue(lease.isHeld());
+
+    pass(Duration.ofSeconds(1));
+    assertFalse(lease.isHeld());
+  }
+
+  @Test
+  void isLostWhenTheMachineWasSuspended() {
+    lease.renew();
+
+    wallClock.advance(Duration.ofSeconds(4));
+
+    assertFalse(lease.isHeld());
+    lease.renew();
+    assertTrue(lease.isHeld());
+  }
+
+  @Test
+  void othersNeverTakeItForEndedWhileItIsHeld() {
+    lease.renew();
+    ProxyRecord written = records.proxies.get(SELF);
+
+    pass(ProxyLease.DURATION.minusMillis(1));
+
+    assertTrue(lease.isHeld());
+    assertFalse(ProxyLease.hasEnded(written, records.storeMillis));
+  }
+
+  @Test
+  void countsTheProxiesThatHoldTheirRight() {
+    lease.renew();
+    VmId other = new VmId("other");
+    records.proxies.put(other, new ProxyRecord(other, records.storeMillis));
+    VmId dead = new VmId("dead");
+    records.proxies.put(dead, new ProxyRecord(dead, 0));
+
+    assertEquals(2, lease.learn().get());
+  }
+
+  private void pass(Duration time) {
+    clock.advance(time);
+    wallClock.advance(time);
+    records.storeMillis += time.toMillis();
+  }
+}
--- /dev/null
+++ b/serving/src/test/java/org/mimosacleat/serving/routing/TargetChooserTest.java
@@ -0,0 +1,96 @@
+package org.mimosacleat.serving.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.mimosacleat.core.position.LogPosition;
+import org.mimosacleat.core.position.Position;
+import org.mimosacleat.core.position.Term;
+import org.mimosacleat.serving.FakeEndpoint;
+import org.mimosacleat.serving.ServingFixture;
+import org.mimosacleat.serving.endpoint.EndpointPool;
+import org.mimosacleat.serving.fleet.Route;
+
+class TargetChooserTest {
+  private final ServingFixture proxy = new ServingFixture();
+  private Route route;
+
+  @BeforeEach
+  void seePrimary() {
+    route =
+        proxy.fleet.picture().configuration().orElseThrow().route(ServingFixture.OWN).orElseThrow();
+    proxy.view().sawPosition(proxy.primary.id(), proxy.clock.instant(), at(1, 10));
+  }
+
+  @Test
+  void replicaThatLacksOneWriteServesReadsThatNeedLess() {
+    replicaPool().health().lacked(at(1, 12));
+
+    assertEquals(
+        Optional.of(replicaPool()), choose(Position.NONE, Set.of(proxy.primary.id())).usedPool());
+  }
+
+  @Test
+  void replicaThatLackedPositionIsNotAskedForItAgainAtOnce() {
+    replicaPool().health().lacked(at(1, 12));
+
+    assertEquals(proxy.primary.id(), chosen(at(1, 12)));
+
+    proxy.clock.advance(Duration.ofMillis(60));
+    replicaPool().health().sawPosition(at(1, 13));
+    assertEquals(
+        Optional.of(replicaPool()), choose(at(1, 12), Set.of(proxy.primary.id())).usedPool());
+  }
+
+  @Test
+  void writeOfEarlierTermIsReplacedByPositionOfThisOne() {
+    proxy.view().lead(proxy.replica.id(), new Term(2));
+    proxy.view().sawPosition(proxy.replica.id(), proxy.clock.instant(), at(2, 5));
+
+    Target target = choose(at(1, 99), Set.of());
+
+    assertEquals(at(2, 5), assertInstanceOf(Target.Fresh.class, target).after());
+  }
+
+  @Test
+  void oldPositionProvesNothingAndSendsReadToPrimary() {
+    proxy.clock.advance(Duration.ofSeconds(3));
+
+    assertInstanceOf(Target.Primary.class, choose(Position.NONE, Set.of()));
+  }
+
+  @Test
+  void primaryIsNotUsedWithoutTheRightTo() {
+    proxy.mayUsePrimaries = false;
+
+    assertInstanceOf(Target.None.class, proxy.chooser.forPrimary(FakeEndpoint.GROUP));
+  }
+
+  @Test
+  void primaryThatIsBeingReplacedIsNotUsed() {
+    proxy.view().pause(new Term(1));
+
+    assertInstanceOf(Target.None.class, proxy.chooser.forPrimary(FakeEndpoint.GROUP));
+  }
+
+  private EndpointPool replicaPool() {
+    return proxy.pools.find(proxy.replica.id()).orElseThrow();
+  }
+
+  private org.mimosacleat.core.id.EndpointId chosen(Position ownWrites) {
+    return choose(ownWrites, Set.of()).usedPool().orElseThrow().entry().id();
+  }
+
+  private Target choose(Position ownWrites, Set<org.mimosacleat.core.id.EndpointId> avoided) {
+    return proxy.chooser.forRead(route, ownWrites, proxy.clock.instant(), avoided);
+  }
+
+  private static Position at(long term, long number) {
+    return new Position(new Term(term), new LogPosition(number));
+  }
+}
