--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -17,5 +17,5 @@
 
 # The class path and the options must be the same here and in system.toml, or the archive is refused.
 printf -- '-cp %s\n' "$(printf '%s\n' target/app/*.jar | paste -sd:)" > target/app/classpath
-target/rt/bin/java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:ArchiveClassesAtExit=target/app.jsa \
-  @target/app/classpath org.mimosacleat.platform.Main load-classes > target/app/load-classes.log 2>&1
+MIMOSACLEAT_BOOT=deploy/rehearsal.json target/rt/bin/java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:ArchiveClassesAtExit=target/app.jsa \
+  @target/app/classpath org.mimosacleat.platform.Main rehearse > target/app/rehearsal.log 2>&1
