Fence a draining primary only if another endpoint answers; wait for a planned replacement

Found by reading: a group whose replicas were all away lost its draining primary at once and stood still until one came back.

--- a/serving/src/main/java/org/mimosacleat/serving/promotion/GroupGuard.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/GroupGuard.java
@@ -82,7 +82,8 @@
     }
   }
 
-  private void evaluate(Optional<String> reason) {
+  /** Looks at the group once; the reason, if any, is what casts doubt on the primary. */
+  void evaluate(Optional<String> reason) {
     Optional<RecordedPrimary> known = parts.records().find(group);
     if (known.isEmpty()) {
       recordFirst();
@@ -137,7 +138,7 @@
       return;
     }
     withoutPrimarySince = parts.clock().instant();
-    if (primary.get().draining()) {
+    if (primary.get().draining() && reachesAnother(primary.get().id())) {
       begin(recorded, true, "the primary is draining");
       return;
     }
--- a/serving/src/main/java/org/mimosacleat/serving/session/AttemptLoop.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/AttemptLoop.java
@@ -29,8 +29,11 @@
 final class AttemptLoop {
   private static final int MOST_ATTEMPTS = 12;
 
-  /** The part of a statement's time that may pass before it is refused as not run. */
-  private static final double PATIENCE = 0.45;
+  /**
+   * The part of a statement's time that may pass before it is refused as not run: a planned
+   * replacement fits in, and the client has time left to try another proxy.
+   */
+  private static final double PATIENCE = 0.6;
 
   private static final Duration SHORTEST_PAUSE = Duration.ofMillis(4);
   private static final Duration LONGEST_PAUSE = Duration.ofMillis(16);
