Let the packages of serving depend on each other one way only

Pools lie with the endpoints they lead to, the list of endpoints with the routing that it feeds: fleet no longer knows of either. No behaviour changes.

--- a/serving/src/main/java/org/mimosacleat/serving/fleet/ConnectionShare.java
+++ b/serving/src/main/java/org/mimosacleat/serving/endpoint/ConnectionShare.java
@@ -1,4 +1,4 @@
-package org.mimosacleat.serving.fleet;
+package org.mimosacleat.serving.endpoint;
 
 import java.util.concurrent.atomic.AtomicInteger;
 import org.mimosacleat.core.check.Checks;
--- a/serving/src/main/java/org/mimosacleat/serving/fleet/EndpointPools.java
+++ b/serving/src/main/java/org/mimosacleat/serving/endpoint/EndpointPools.java
@@ -1,12 +1,12 @@
-package org.mimosacleat.serving.fleet;
+package org.mimosacleat.serving.endpoint;
 
 import java.time.InstantSource;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import org.mimosacleat.core.id.EndpointId;
 import org.mimosacleat.core.id.GroupId;
-import org.mimosacleat.serving.endpoint.EndpointDialer;
-import org.mimosacleat.serving.endpoint.EndpointPool;
+import org.mimosacleat.serving.fleet.EndpointEntry;
+import org.mimosacleat.serving.fleet.FleetState;
 
 /** The pools of all endpoints in the picture; an endpoint that starts anew gets a new pool. */
 public final class EndpointPools {
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/GuardParts.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/GuardParts.java
@@ -5,7 +5,7 @@
 import java.util.random.RandomGenerator;
 import org.mimosacleat.core.id.VmId;
 import org.mimosacleat.core.time.Sleeper;
-import org.mimosacleat.serving.fleet.EndpointPools;
+import org.mimosacleat.serving.endpoint.EndpointPools;
 import org.mimosacleat.serving.fleet.FleetState;
 import org.mimosacleat.serving.routing.GroupViews;
 
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryGuards.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryGuards.java
@@ -3,7 +3,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import org.mimosacleat.core.id.EndpointId;
 import org.mimosacleat.core.id.GroupId;
-import org.mimosacleat.serving.fleet.GroupListener;
+import org.mimosacleat.serving.routing.GroupListener;
 import org.mimosacleat.serving.routing.PrimaryDoubt;
 
 /** The guards of all groups that have endpoints. */
--- a/serving/src/main/java/org/mimosacleat/serving/fleet/EndpointList.java
+++ b/serving/src/main/java/org/mimosacleat/serving/routing/EndpointList.java
@@ -1,4 +1,4 @@
-package org.mimosacleat.serving.fleet;
+package org.mimosacleat.serving.routing;
 
 import java.time.Duration;
 import java.util.Map;
@@ -9,8 +9,9 @@
 import java.util.concurrent.TimeUnit;
 import org.mimosacleat.core.id.EndpointId;
 import org.mimosacleat.core.position.Term;
-import org.mimosacleat.serving.routing.GroupView;
-import org.mimosacleat.serving.routing.GroupViews;
+import org.mimosacleat.serving.endpoint.EndpointPools;
+import org.mimosacleat.serving.fleet.EndpointEntry;
+import org.mimosacleat.serving.fleet.EndpointRole;
 import org.tinylog.Logger;
 
 /**
--- a/serving/src/main/java/org/mimosacleat/serving/fleet/GroupListener.java
+++ b/serving/src/main/java/org/mimosacleat/serving/routing/GroupListener.java
@@ -1,4 +1,4 @@
-package org.mimosacleat.serving.fleet;
+package org.mimosacleat.serving.routing;
 
 import org.mimosacleat.core.id.GroupId;
 
--- a/serving/src/main/java/org/mimosacleat/serving/routing/GroupView.java
+++ b/serving/src/main/java/org/mimosacleat/serving/routing/GroupView.java
@@ -12,7 +12,7 @@
 public final class GroupView {
   private final AtomicReference<Known> known =
       new AtomicReference<>(
-          new Known(Optional.empty(), new Term(0), false, PrimaryHistory.empty(), Position.NONE));
+          new Known(Optional.empty(), new Term(0), false, PrimaryHistory.empty()));
 
   /** Returns the endpoint that may be used as primary now. */
   public Optional<EndpointId> primary() {
@@ -45,11 +45,6 @@
     known.updateAndGet(old -> old.term().isAfter(term) ? old : old.paused(true));
   }
 
-  /** Allows the use of the primary again. */
-  public void resume() {
-    known.updateAndGet(old -> old.paused(false));
-  }
-
   /**
    * Takes note of the end of the primary's log.
    *
@@ -64,41 +59,27 @@
     return known.get().history().including(moment);
   }
 
-  /** Returns the last position that the primary was seen to have. */
-  public Position lastPosition() {
-    return known.get().last();
-  }
-
   private record Known(
-      Optional<EndpointId> primary,
-      Term term,
-      boolean paused,
-      PrimaryHistory history,
-      Position last) {
+      Optional<EndpointId> primary, Term term, boolean paused, PrimaryHistory history) {
     Known led(EndpointId leader, Term newTerm) {
       if (term.isAfter(newTerm)) {
         return this;
       }
       boolean same = term.equals(newTerm) && primary.equals(Optional.of(leader));
       return same
-          ? new Known(primary, term, false, history, last)
-          : new Known(Optional.of(leader), newTerm, false, PrimaryHistory.empty(), Position.NONE);
+          ? new Known(primary, term, false, history)
+          : new Known(Optional.of(leader), newTerm, false, PrimaryHistory.empty());
     }
 
     Known paused(boolean nowPaused) {
-      return new Known(primary, term, nowPaused, history, last);
+      return new Known(primary, term, nowPaused, history);
     }
 
     Known withPosition(EndpointId endpoint, Instant askedAt, Position position) {
       if (!primary.equals(Optional.of(endpoint)) || term.isAfter(position.term())) {
         return this;
       }
-      return new Known(
-          primary,
-          position.term(),
-          paused,
-          history.with(askedAt, position),
-          Position.latest(last, position));
+      return new Known(primary, position.term(), paused, history.with(askedAt, position));
     }
   }
 }
