--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryReplacement.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryReplacement.java
@@ -52,7 +52,7 @@
   private final Set<EndpointId> refused = new HashSet<>();
   private RecordedPrimary claim;
   private Instant claimedAt = Instant.MIN;
-  private boolean stopped;
+  private boolean usedNoMore;
 
   PrimaryReplacement(GuardParts parts, RecordedPrimary recorded) {
     this.parts = parts;
@@ -73,7 +73,7 @@
     parts.views().of(group).pause(claim.record().term());
     Instant end = parts.clock().instant().plus(GIVE_UP_AFTER);
     Optional<Position> fencedAt = endOldReign(planned, end);
-    if (fencedAt.isEmpty() && !stopped) {
+    if (fencedAt.isEmpty() && !usedNoMore) {
       Logger.warn("{}: the replacement is given up: the old primary may be in use", group);
       return false;
     }
@@ -115,9 +115,8 @@
     }
     claim.record().primary().flatMap(parts.pools()::find).ifPresent(EndpointPool::abandon);
     while (parts.clock().instant().isBefore(end) && holdsFreshClaim()) {
-      Optional<Boolean> anyFenced = othersStopped();
-      if (anyFenced.isPresent()) {
-        stopped = true;
+      if (isUsedNoMore()) {
+        usedNoMore = true;
         return Optional.empty();
       }
       fenced = fence();
@@ -142,30 +141,26 @@
   }
 
   /**
-   * Tells whether one of the others has fenced the primary; empty while neither that is so nor all
-   * of them have stopped or lost their right.
+   * Tells whether another proxy has fenced the primary, or all have stopped or lost their right.
    */
-  private Optional<Boolean> othersStopped() {
+  private boolean isUsedNoMore() {
     Either<RecordFailure, List<StopRecord>> stops = parts.shared().readStops(group);
     if (stops.isLeft()) {
-      return Optional.empty();
+      return false;
     }
     List<StopRecord> ofRound =
         stops.get().stream().filter(stop -> stop.round() == claim.record().round()).toList();
-    if (ofRound.stream().anyMatch(StopRecord::fenced)) {
-      return Optional.of(true);
-    }
-    Set<VmId> stopped = ofRound.stream().map(StopRecord::proxy).collect(Collectors.toSet());
+    return ofRound.stream().anyMatch(StopRecord::fenced) || haveAllStopped(ofRound);
+  }
+
+  private boolean haveAllStopped(List<StopRecord> stops) {
+    Set<VmId> stopped = stops.stream().map(StopRecord::proxy).collect(Collectors.toSet());
     stopped.add(parts.self());
-    Either<RecordFailure, ProxyList> proxies = parts.shared().readProxies();
-    boolean all =
-        proxies.isRight()
-            && proxies.get().proxies().stream()
-                .allMatch(
-                    proxy ->
-                        stopped.contains(proxy.proxy())
-                            || ProxyLease.hasEnded(proxy, proxies.get().storeMillis()));
-    return all ? Optional.of(false) : Optional.empty();
+    Either<RecordFailure, ProxyList> list = parts.shared().readProxies();
+    return list.isRight()
+        && list.get().proxies().stream()
+            .filter(proxy -> !stopped.contains(proxy.proxy()))
+            .allMatch(proxy -> ProxyLease.hasEnded(proxy, list.get().storeMillis()));
   }
 
   private boolean promote(Position atLeast, Instant end) {
