Cancel a statement in the stand-in's test only once it runs

Cause: the driver sends one cancel request for a statement, however often it is asked; under load the request came before the statement had begun, and PostgreSQL and the stand-in ignore such a one. So the test waited 20 s for nothing. Now it waits until the statement has a slot, and asserts the same.

--- a/standin/src/test/java/org/mimosacleat/standin/endpoint/EndpointStandinTest.java
+++ b/standin/src/test/java/org/mimosacleat/standin/endpoint/EndpointStandinTest.java
@@ -137,12 +137,14 @@
   @Test
   void cancelEndsTheRunningStatementAlone() throws Exception {
     try (Statement statement = connection.createStatement()) {
-      CompletableFuture<String> state =
+      final long statementsBefore = endpoint.statistics().statements();
+      final CompletableFuture<String> state =
           CompletableFuture.supplyAsync(() -> stateOf(statement, "SELECT pg_sleep(20)"));
-      while (!state.isDone()) {
-        Driver.checkTimeLimit(List.of("a cancelled statement"), List.of("running"));
-        statement.cancel();
+      // The driver sends one request, and one that comes before the statement ends nothing.
+      while (endpoint.statistics().statements() == statementsBefore) {
+        Driver.checkTimeLimit(List.of("a running statement"), List.of("none"));
       }
+      statement.cancel();
       assertEquals("57014", state.join());
     }
     assertEquals(List.of("7"), Driver.row(connection, "SELECT 7"));
