Say once how a primary is fenced and what becomes of unanswered commands

DEMOTE, and the check that it took, stood in the guard and twice in the replacement; it is now EndpointAdministration.fence. The account of a lost or late connection stood five times in the sessions; it is now Attempt.unanswered, and losing a link one method of a transaction. Behaviour stays, but for the reason in the log line of a doubt, which now is the same text that the client gets.

--- a/serving/src/main/java/org/mimosacleat/serving/endpoint/EndpointPool.java
+++ b/serving/src/main/java/org/mimosacleat/serving/endpoint/EndpointPool.java
@@ -103,8 +103,7 @@
     closeIdle();
   }
 
-  /** Closes the idle connections. */
-  public void closeIdle() {
+  private void closeIdle() {
     PooledLink pooled = idle.poll();
     while (pooled != null) {
       pooled.link().close();
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/GroupGuard.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/GroupGuard.java
@@ -295,9 +295,7 @@
     return record
         .primary()
         .flatMap(this::entry)
-        .map(entry -> parts.administration().demote(entry, next))
-        .filter(Either::isRight)
-        .filter(status -> status.get().role() == EndpointRole.REPLICA)
+        .flatMap(entry -> parts.administration().fence(entry, next))
         .isPresent();
   }
 
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryReplacement.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryReplacement.java
@@ -16,7 +16,6 @@
 import org.mimosacleat.core.position.Term;
 import org.mimosacleat.serving.endpoint.EndpointPool;
 import org.mimosacleat.serving.fleet.EndpointEntry;
-import org.mimosacleat.serving.fleet.EndpointRole;
 import org.tinylog.Logger;
 
 /**
@@ -130,14 +129,7 @@
 
   private Optional<Position> fence() {
     return oldPrimary()
-        .map(old -> parts.administration().demote(old, claim.record().term().next()))
-        .flatMap(PrimaryReplacement::replicaPosition);
-  }
-
-  private static Optional<Position> replicaPosition(Either<Failure, EndpointStatus> status) {
-    return status.isRight() && status.get().role() == EndpointRole.REPLICA
-        ? Optional.of(status.get().received())
-        : Optional.empty();
+        .flatMap(old -> parts.administration().fence(old, claim.record().term().next()));
   }
 
   /**
@@ -244,7 +236,7 @@
   private void keepFencing(EndpointEntry old, Term term) {
     Instant end = parts.clock().instant().plus(KEEP_FENCING_FOR);
     while (parts.clock().instant().isBefore(end)) {
-      if (replicaPosition(parts.administration().demote(old, term)).isPresent()) {
+      if (parts.administration().fence(old, term).isPresent()) {
         return;
       }
       parts.sleeper().sleep(FENCING_INTERVAL);
--- a/serving/src/main/java/org/mimosacleat/serving/session/Attempt.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/Attempt.java
@@ -89,15 +89,14 @@
     return new Step.Again(failure, elsewhere ? Optional.of(pool.entry().id()) : Optional.empty());
   }
 
-  static Failure lost(EndpointPool pool, String reason) {
-    return new Failure(
-        ErrorKind.CONNECTION_LOST,
-        "the connection to endpoint " + pool.entry().id() + " was lost: " + reason);
-  }
-
-  static Failure late(EndpointPool pool) {
-    return new Failure(
-        ErrorKind.DEADLINE_AFTER_START,
-        "endpoint " + pool.entry().id() + " did not answer within the statement's time");
+  /** Returns what is known of commands that were not answered. */
+  static Failure unanswered(EndpointPool pool, LinkResult result) {
+    return result instanceof LinkResult.Lost(String reason)
+        ? new Failure(
+            ErrorKind.CONNECTION_LOST,
+            "the connection to endpoint " + pool.entry().id() + " was lost: " + reason)
+        : new Failure(
+            ErrorKind.DEADLINE_AFTER_START,
+            "endpoint " + pool.entry().id() + " did not answer within the statement's time");
   }
 }
--- a/serving/src/main/java/org/mimosacleat/serving/session/OpenTransaction.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/OpenTransaction.java
@@ -178,27 +178,21 @@
     };
   }
 
-  /** Nothing was committed, so the transaction may begin anew elsewhere. */
+  /** Nothing was committed, so the transaction may begin anew elsewhere if there is time. */
   private Step unanswered(LeasedLink taken, boolean leads, LinkResult result) {
-    EndpointPool pool = taken.pool();
-    taken.discard();
-    if (result instanceof LinkResult.Lost(String reason)) {
-      unreachable(pool, leads, reason);
-      return Attempt.again(notKept(Attempt.lost(pool, reason)), pool, !leads);
-    }
-    unreachable(pool, leads, "silent");
-    return new Step.Final(Answer.failed(notKept(Attempt.late(pool)), TransactionStatus.FAILED));
+    Failure failure = notKept(lose(taken, leads, result));
+    return result instanceof LinkResult.Lost
+        ? Attempt.again(failure, taken.pool(), !leads)
+        : new Step.Final(Answer.failed(failure, TransactionStatus.FAILED));
   }
 
   private Answer next(Forwarded statement) {
-    return switch (runUnlessBusy(statement)) {
-      case LinkResult.Answered answered -> {
-        noted(answered, answered.last());
-        yield answered.last();
-      }
-      case LinkResult.Lost(String reason) -> gone(Attempt.lost(link.pool(), reason));
-      case LinkResult.Late late -> gone(Attempt.late(link.pool()));
-    };
+    LinkResult result = runUnlessBusy(statement);
+    if (result instanceof LinkResult.Answered answered) {
+      noted(answered, answered.last());
+      return answered.last();
+    }
+    return Answer.failed(notKept(loseLink(result)), TransactionStatus.FAILED);
   }
 
   /** Sends a statement again while the endpoint has no slot for it and keeps the transaction. */
@@ -219,48 +213,41 @@
         && answered.last().status() == TransactionStatus.IN_TRANSACTION;
   }
 
-  private Answer finish(Forwarded statement) {
-    return switch (runUnlessBusy(statement)) {
-      case LinkResult.Answered answered -> {
-        noted(answered, answered.last());
-        if (answered.last().isDone() && wrote) {
-          attempt.wrote(answered.last());
-        }
-        yield answered.last();
-      }
-      case LinkResult.Lost(String reason) -> uncertain(Attempt.lost(link.pool(), reason));
-      case LinkResult.Late late -> uncertain(Attempt.late(link.pool()));
-    };
-  }
-
   /** A commit without an answer may have happened, unless there was nothing to commit. */
-  private Answer uncertain(Failure failure) {
-    EndpointPool pool = link.pool();
-    link.discard();
-    link = null;
-    unreachable(pool, onPrimary, failure.detail());
-    return Answer.failed(wrote ? failure : notKept(failure), TransactionStatus.IDLE);
+  private Answer finish(Forwarded statement) {
+    LinkResult result = runUnlessBusy(statement);
+    if (!(result instanceof LinkResult.Answered answered)) {
+      Failure failure = loseLink(result);
+      return Answer.failed(wrote ? failure : notKept(failure), TransactionStatus.IDLE);
+    }
+    noted(answered, answered.last());
+    if (answered.last().isDone() && wrote) {
+      attempt.wrote(answered.last());
+    }
+    return answered.last();
   }
 
-  private Answer gone(Failure failure) {
-    EndpointPool pool = link.pool();
-    link.discard();
+  private Failure loseLink(LinkResult result) {
+    LeasedLink lost = link;
     link = null;
-    unreachable(pool, onPrimary, failure.detail());
-    return Answer.failed(notKept(failure), TransactionStatus.FAILED);
-  }
-
-  /** The commit was never sent, so nothing of the transaction is kept. */
-  private static Failure notKept(Failure failure) {
-    return new Failure(ErrorKind.TRANSACTION_LOST, failure.detail());
+    return lose(lost, onPrimary, result);
   }
 
-  private void unreachable(EndpointPool pool, boolean leads, String reason) {
+  private Failure lose(LeasedLink lost, boolean leads, LinkResult result) {
+    EndpointPool pool = lost.pool();
+    lost.discard();
+    Failure failure = Attempt.unanswered(pool, result);
     if (leads) {
-      attempt.doubt(pool, reason);
+      attempt.doubt(pool, failure.detail());
     } else {
       pool.health().failed();
     }
+    return failure;
+  }
+
+  /** Nothing was committed, so nothing of the transaction is kept. */
+  private static Failure notKept(Failure failure) {
+    return new Failure(ErrorKind.TRANSACTION_LOST, failure.detail());
   }
 
   private void noted(LinkResult.Answered answered, Answer answer) {
--- a/serving/src/main/java/org/mimosacleat/serving/session/SingleStatements.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/SingleStatements.java
@@ -65,19 +65,10 @@
     }
     LeasedLink link = leased.get();
     List<EndpointCommand> commands = List.of(statement.command(Optional.empty()));
-    return switch (attempt.run(link, statement.shape(), commands, deadline)) {
-      case LinkResult.Answered answered -> written(attempt, link, answered);
-      case LinkResult.Lost(String reason) -> {
-        link.discard();
-        attempt.doubt(pool, reason);
-        yield failed(Attempt.lost(pool, reason));
-      }
-      case LinkResult.Late late -> {
-        link.discard();
-        attempt.doubt(pool, "silent");
-        yield failed(Attempt.late(pool));
-      }
-    };
+    LinkResult result = attempt.run(link, statement.shape(), commands, deadline);
+    return result instanceof LinkResult.Answered answered
+        ? written(attempt, link, answered)
+        : failed(lostPrimary(attempt, link, result));
   }
 
   private static Step written(Attempt attempt, LeasedLink link, LinkResult.Answered answered) {
@@ -121,14 +112,14 @@
   }
 
   private static Step unanswered(Attempt attempt, LeasedLink link, LinkResult result) {
-    EndpointPool pool = link.pool();
+    return Attempt.again(lostPrimary(attempt, link, result), link.pool(), false);
+  }
+
+  private static Failure lostPrimary(Attempt attempt, LeasedLink link, LinkResult result) {
     link.discard();
-    Failure failure =
-        result instanceof LinkResult.Lost(String reason)
-            ? Attempt.lost(pool, reason)
-            : Attempt.late(pool);
-    attempt.doubt(pool, failure.detail());
-    return Attempt.again(failure, pool, false);
+    Failure failure = Attempt.unanswered(link.pool(), result);
+    attempt.doubt(link.pool(), failure.detail());
+    return failure;
   }
 
   private static Step readUnderLead(
@@ -155,19 +146,13 @@
     LeasedLink link = leased.get();
     List<EndpointCommand> commands = List.of(statement.command(Optional.of(after)));
     Instant limit = attempt.silenceLimit(pool, deadline);
-    return switch (attempt.run(link, statement.shape(), commands, limit)) {
-      case LinkResult.Answered answered -> readFresh(link, after, answered.last());
-      case LinkResult.Lost(String reason) -> {
-        link.discard();
-        pool.health().failed();
-        yield Attempt.again(Attempt.lost(pool, reason), pool, true);
-      }
-      case LinkResult.Late late -> {
-        link.discard();
-        pool.health().failed();
-        yield Attempt.again(Attempt.late(pool), pool, true);
-      }
-    };
+    LinkResult result = attempt.run(link, statement.shape(), commands, limit);
+    if (result instanceof LinkResult.Answered answered) {
+      return readFresh(link, after, answered.last());
+    }
+    link.discard();
+    pool.health().failed();
+    return Attempt.again(Attempt.unanswered(pool, result), pool, true);
   }
 
   private static Step readFresh(LeasedLink link, Position after, Answer answer) {
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/FakeGroup.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/FakeGroup.java
@@ -2,7 +2,9 @@
 
 import io.vavr.control.Either;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
 import org.mimosacleat.core.error.ErrorKind;
 import org.mimosacleat.core.error.Failure;
 import org.mimosacleat.core.id.EndpointId;
@@ -10,6 +12,7 @@
 import org.mimosacleat.core.id.VmId;
 import org.mimosacleat.core.position.Term;
 import org.mimosacleat.serving.FakeEndpoint;
+import org.mimosacleat.serving.ServingFixture;
 import org.mimosacleat.serving.fleet.EndpointEntry;
 import org.mimosacleat.serving.fleet.EndpointRole;
 
@@ -22,6 +25,28 @@
     this.endpoints = endpoints;
   }
 
+  /** Returns the parts of a guard on a proxy's pools, whose endpoints are these. */
+  GuardParts parts(
+      VmId self,
+      ServingFixture proxy,
+      SharedRecords shared,
+      PrimaryRecords records,
+      ExecutorService executor) {
+    return new GuardParts(
+        self,
+        proxy.fleet,
+        proxy.pools,
+        proxy.views,
+        shared,
+        records,
+        this,
+        this,
+        executor,
+        proxy.clock,
+        new Random(1),
+        proxy.clock::advance);
+  }
+
   @Override
   public Either<Failure, EndpointStatus> status(EndpointEntry entry) {
     FakeEndpoint endpoint = find(entry.id());
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryReplacementTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryReplacementTest.java
@@ -7,7 +7,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.Random;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import org.junit.jupiter.api.AfterEach;
@@ -144,18 +143,6 @@
   }
 
   private GuardParts parts() {
-    return new GuardParts(
-        SELF,
-        proxy.fleet,
-        proxy.pools,
-        proxy.views,
-        records,
-        new PrimaryRecords(_ -> {}),
-        group,
-        group,
-        executor,
-        proxy.clock,
-        new Random(1),
-        proxy.clock::advance);
+    return group.parts(SELF, proxy, records, new PrimaryRecords(_ -> {}), executor);
   }
 }
