Keep a statement behind a failed BEGIN from running by itself

Cause of the torn transactions of bin/demo: the driver sends BEGIN as a simple query and the first statement of the transaction right behind it, without waiting. When the BEGIN failed because its primary was killed, the proxy answered the error with the status idle, took the insert behind it for a single statement and ran it by itself on the new primary. A trace of the stand-in's commits showed it: on a connection of the new primary only the insert ran, with no BEGIN before it, 10 ms after the primary was replaced.

Now a BEGIN that failed, or was refused by the proxy, leaves the session in a failed transaction: only its end is answered, as for a transaction that was lost. A statement that the proxy refuses within an open transaction ends it likewise, as any error does in PostgreSQL.

--- a/proxy/src/main/java/org/mimosacleat/proxy/caller/BatchHandler.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/caller/BatchHandler.java
@@ -82,7 +82,19 @@
     if (session.hasLostTransaction()) {
       return Optional.of(answerInLostTransaction(plan));
     }
-    return refusal(plan).map(failure -> LocalAnswer.failed(failure, session.status()));
+    return refusal(plan).map(failure -> refuse(plan, failure));
+  }
+
+  /** Answers what is not run; as with any other error, it ends the transaction that it is in. */
+  private List<Frame> refuse(BatchPlan plan, Failure failure) {
+    boolean wasOpen = session.transactionHome().isPresent();
+    if (wasOpen) {
+      abandon();
+    }
+    if (wasOpen || opensTransaction(plan)) {
+      session.transactionLost();
+    }
+    return LocalAnswer.failed(failure, session.status());
   }
 
   private static Optional<HintStatement> hintOf(BatchPlan plan) {
@@ -94,7 +106,7 @@
   private List<Frame> setHint(BatchPlan plan, HintStatement hint) throws FrameException {
     Either<Failure, SessionHints> changed = session.hints().with(hint.name(), hint.value());
     if (changed.isLeft()) {
-      return LocalAnswer.failed(changed.getLeft(), session.status());
+      return refuse(plan, changed.getLeft());
     }
     session.setHints(changed.get());
     return LocalAnswer.done(plan.batch(), "SET", session.status());
@@ -224,11 +236,20 @@
   private List<Frame> fail(BatchPlan plan, Failure failure) {
     boolean wasOpen = session.transactionHome().isPresent();
     boolean ended = plan.kind() == StatementKind.COMMIT || plan.kind() == StatementKind.ROLLBACK;
-    if (wasOpen && !ended) {
+    if (opensTransaction(plan) || (wasOpen && !ended)) {
       session.transactionLost();
     } else {
       session.idle();
     }
     return LocalAnswer.failed(failure, session.status());
   }
+
+  /**
+   * Tells whether the client takes a transaction for open after the batch. Drivers send the first
+   * statement of a transaction behind its BEGIN without waiting, so after a BEGIN that failed only
+   * an end of the transaction may run.
+   */
+  private static boolean opensTransaction(BatchPlan plan) {
+    return plan.kind() == StatementKind.BEGIN || plan.kind() == StatementKind.BEGIN_READ_ONLY;
+  }
 }
