Let a fenced replica take the records of terms that nobody served

The fence is for the term that the sender leads, not for each record of its log: the stand-in's replica now compares it with the end of the sender's log.

--- a/standin/src/main/java/org/mimosacleat/standin/endpoint/Follower.java
+++ b/standin/src/main/java/org/mimosacleat/standin/endpoint/Follower.java
@@ -3,11 +3,13 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 import org.mimosacleat.core.position.Position;
+import org.mimosacleat.core.position.Term;
 
 /**
  * Keeps a replica receiving and replaying, each after its lag. It runs in a thread of its own and
@@ -79,13 +81,18 @@
     if (!state.isReplica() || upstream.isEmpty() || !adopt(upstream.get())) {
       return false;
     }
-    for (LogRecord record : upstream.get().recordsAfter(state.lastRecord())) {
+    List<LogRecord> missing = upstream.get().recordsAfter(state.lastRecord());
+    if (missing.isEmpty()) {
+      return false;
+    }
+    Term senderTerm = missing.getLast().position().term();
+    for (LogRecord record : missing) {
       if (dueTime(record).isAfter(now)) {
         return true;
       }
       Instant replayDue = now.plus(settings.replayLag().draw(random));
       lastReplayDue = replayDue.isAfter(lastReplayDue) ? replayDue : lastReplayDue;
-      if (!state.receive(record, lastReplayDue, from)) {
+      if (!state.receive(record, lastReplayDue, from, senderTerm)) {
         return false;
       }
     }
--- a/standin/src/main/java/org/mimosacleat/standin/endpoint/InstanceState.java
+++ b/standin/src/main/java/org/mimosacleat/standin/endpoint/InstanceState.java
@@ -219,11 +219,15 @@
         });
   }
 
-  /** Takes a record from the primary, unless the instance has stopped receiving meanwhile. */
-  boolean receive(LogRecord record, Instant replayDue, String from) {
+  /**
+   * Takes a record from the primary, unless the instance has stopped receiving meanwhile. The fence
+   * is for the term that the sender leads now: its log may hold records of terms that nobody
+   * served.
+   */
+  boolean receive(LogRecord record, Instant replayDue, String from, Term senderTerm) {
     return locked(
         () -> {
-          if (!running || !replica || !upstream.equals(from) || isFenced(record)) {
+          if (!running || !replica || !upstream.equals(from) || isFenced(senderTerm)) {
             return false;
           }
           log.append(record);
@@ -247,8 +251,8 @@
     return locked(() -> Optional.ofNullable(pending.peekFirst()).map(PendingReplay::due));
   }
 
-  private boolean isFenced(LogRecord record) {
-    return fence.filter(term -> term.isAfter(record.position().term())).isPresent();
+  private boolean isFenced(Term senderTerm) {
+    return fence.filter(term -> term.isAfter(senderTerm)).isPresent();
   }
 
   private void append(Term term, DatabaseState state) {
