Archive linked classes from a start that answers statements

The archive of classes held loaded classes only, and the rehearsed start met no store.

Ruled out: the option AOTCache, which can't be used beside the runtime options that the users' platform sets (the process ends at once); SharedArchiveFile takes the same file.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Builds what runs on the users' platform, all of it under target/: the jars of the proxy in
 # target/app, a runtime with just the modules they need in target/rt, and an archive of the loaded
-# classes in target/app.jsa, which shortens the start.
+# and linked classes in target/app.aot, which shortens the start.
 set -eu
 cd "$(dirname "$0")/.."
 java_home=$(bin/java-home)
@@ -9,7 +9,7 @@
 
 bin/maven --quiet -Pdeploy -Dmaven.test.skip=true -Dspotless.check.skip -Dcheckstyle.skip \
   package dependency:copy-dependencies -DincludeScope=runtime -pl platform -am
-rm -rf target/rt target/app target/app.jsa
+rm -rf target/rt target/app target/app.aot
 mkdir -p target/app
 cp target/mimosacleat-platform/dependency/*.jar target/mimosacleat-platform/mimosacleat-*.jar target/app/
 "$java_home/bin/jlink" --add-modules "$modules" --strip-debug --no-header-files --no-man-pages \
@@ -17,5 +17,6 @@
 
 # The class path and the options must be the same here and in system.toml, or the archive is refused.
 printf -- '-cp %s\n' "$(printf '%s\n' target/app/*.jar | paste -sd:)" > target/app/classpath
-MIMOSACLEAT_BOOT=deploy/rehearsal.json target/rt/bin/java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:ArchiveClassesAtExit=target/app.jsa \
+target/rt/bin/java -Xmx96m -Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:-UsePerfData \
+  -XX:AOTCacheOutput=target/app.aot \
   @target/app/classpath org.mimosacleat.platform.Main rehearse > target/app/rehearsal.log 2>&1
