Leave room for the connections of an earlier run; serve the most urgent first

- A pool whose connection was refused as one too many waits for its open ones, and opens another only 250 ms later; the endpoint is no longer taken for failed.
- Those that wait for a connection get it by urgency: who can still meet the objective first, then by priority, then by time.
After 60 ms of waiting the endpoint is chosen anew.

--- a/serving/src/main/java/org/mimosacleat/serving/endpoint/ConnectionShare.java
+++ b/serving/src/main/java/org/mimosacleat/serving/endpoint/ConnectionShare.java
@@ -1,5 +1,6 @@
 package org.mimosacleat.serving.endpoint;
 
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.mimosacleat.core.check.Checks;
 
@@ -14,10 +15,14 @@
   /** More connections from one proxy would not make an endpoint work on more statements. */
   private static final int MOST_LINKS = 6;
 
-  /** The part of the limit that is divided; the rest is for proxies that have just come or gone. */
-  private static final double DIVIDED_PART = 0.85;
+  /**
+   * The part of the limit that is divided. The rest is for proxies that have just come, and for the
+   * connections of machines that lost power, which an endpoint keeps for some seconds.
+   */
+  private static final double DIVIDED_PART = 0.6;
 
   private final AtomicInteger proxies;
+  private final AtomicBoolean settled = new AtomicBoolean();
 
   /** Starts with an estimate of the number of proxies. */
   public ConnectionShare(int proxies) {
@@ -29,9 +34,19 @@
     return proxies.getAndSet(Math.max(1, count)) != Math.max(1, count);
   }
 
+  /** Takes note that the endpoints have dropped what an earlier run of this proxy had opened. */
+  public void settle() {
+    settled.set(true);
+  }
+
   /** Returns how many connections this proxy may hold to an endpoint with this limit. */
   public int linksPerEndpoint(int maximumConnections) {
     int share = (int) (maximumConnections * DIVIDED_PART / proxies.get());
-    return Math.clamp(share, LEAST_LINKS, MOST_LINKS);
+    int links = Math.clamp(share, LEAST_LINKS, MOST_LINKS);
+    if (settled.get()) {
+      return links;
+    }
+    int beside = maximumConnections / proxies.get() - links;
+    return Math.clamp(beside, LEAST_LINKS, links);
   }
 }
--- a/serving/src/main/java/org/mimosacleat/serving/endpoint/EndpointPool.java
+++ b/serving/src/main/java/org/mimosacleat/serving/endpoint/EndpointPool.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
@@ -19,15 +18,22 @@
 
 /**
  * The connections of this proxy to one endpoint. A session leases one for a statement or a
- * transaction; those that wait are served in the order of their arrival.
+ * transaction; those that wait are served in the order of their urgency.
  */
 public final class EndpointPool {
+  private static final Duration PAUSE_BETWEEN_REFUSED_CONNECTIONS = Duration.ofMillis(250);
+
   private final EndpointDialer dialer;
   private final InstantSource clock;
   private final AtomicReference<EndpointEntry> entry;
-  private final ResizableSemaphore permits;
+  private final LinkPermits permits;
   private final ConcurrentLinkedDeque<PooledLink> idle = new ConcurrentLinkedDeque<>();
   private final Set<PooledLink> inUse = ConcurrentHashMap.newKeySet();
+  private final AtomicInteger maximumLinks;
+
+  /** Until when no connection is opened because one was refused; the end of time if none was. */
+  private final AtomicReference<Instant> cappedUntil = new AtomicReference<>(Instant.MAX);
+
   private final AtomicInteger leased = new AtomicInteger();
   private final AtomicBoolean closed = new AtomicBoolean();
   private final EndpointHealth health;
@@ -42,7 +48,8 @@
     this.entry = new AtomicReference<>(entry);
     this.dialer = dialer;
     this.clock = clock;
-    this.permits = new ResizableSemaphore(maximumLinks);
+    this.maximumLinks = new AtomicInteger(maximumLinks);
+    this.permits = new LinkPermits(clock, maximumLinks);
     this.health = new EndpointHealth(clock);
   }
 
@@ -58,6 +65,7 @@
 
   /** Changes the most connections that the pool may hold. */
   public void resize(int maximumLinks) {
+    this.maximumLinks.set(maximumLinks);
     permits.resize(maximumLinks);
   }
 
@@ -75,10 +83,13 @@
    * Leases a connection, and opens one if none is idle.
    *
    * @param values the session's values, by which the best idle connection is chosen
-   * @param deadline until when to wait for one
+   * @param urgency which of those that wait goes first
+   * @param until until when to wait for one
    */
-  public Either<Failure, LeasedLink> lease(Map<String, String> values, Instant deadline) {
-    if (!acquirePermit(deadline)) {
+  public Either<Failure, LeasedLink> lease(
+      Map<String, String> values, Urgency urgency, Instant until) {
+    liftCap();
+    if (!acquirePermit(urgency, until)) {
       return failure(
           ErrorKind.OVERLOADED, "no connection to endpoint " + entry().id() + " became free");
     }
@@ -89,14 +100,18 @@
     }
     Either<Failure, EndpointLink> dialed = dialer.dial(entry());
     if (dialed.isLeft()) {
+      dialFailed(dialed.getLeft());
       returnPermit();
-      health.failed();
       return Either.left(dialed.getLeft());
     }
     health.answered();
     return Either.right(use(new PooledLink(dialed.get())));
   }
 
+  int waiting() {
+    return permits.waiting();
+  }
+
   /** Closes the idle connections now and the leased ones as they come back. */
   public void close() {
     closed.set(true);
@@ -145,10 +160,32 @@
     return new LeasedLink(this, pooled, clock);
   }
 
-  private boolean acquirePermit(Instant deadline) {
-    long wait = Math.max(0, Duration.between(clock.instant(), deadline).toNanos());
+  /** An endpoint that takes no more connections still serves those that are open. */
+  private void dialFailed(Failure failure) {
+    int open = idle.size() + inUse.size();
+    if (failure.kind() != ErrorKind.TOO_MANY_CONNECTIONS) {
+      health.failed();
+    } else if (open > 0) {
+      cappedUntil.set(clock.instant().plus(PAUSE_BETWEEN_REFUSED_CONNECTIONS));
+      permits.resize(Math.min(open, maximumLinks.get()));
+    } else {
+      health.failed();
+    }
+  }
+
+  /** Lets the pool grow again, some time after the endpoint refused a connection. */
+  private void liftCap() {
+    Instant until = cappedUntil.get();
+    boolean over = !until.equals(Instant.MAX) && !clock.instant().isBefore(until);
+    if (over && cappedUntil.compareAndSet(until, Instant.MAX)) {
+      permits.resize(maximumLinks.get());
+    }
+  }
+
+  private boolean acquirePermit(Urgency urgency, Instant until) {
+    Duration wait = Duration.between(clock.instant(), until);
     try {
-      return !closed.get() && permits.tryAcquire(wait, TimeUnit.NANOSECONDS);
+      return !closed.get() && permits.tryAcquire(urgency, wait);
     } catch (InterruptedException interrupted) {
       Thread.currentThread().interrupt();
       return false;
--- /dev/null
+++ b/serving/src/main/java/org/mimosacleat/serving/endpoint/LinkPermits.java
@@ -0,0 +1,139 @@
+package org.mimosacleat.serving.endpoint;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+
+/**
+ * The rights to use a connection of one pool. Their number can change while they are in use; those
+ * that wait for one get it in the order of their urgency.
+ */
+final class LinkPermits {
+  private final InstantSource clock;
+  private final ReentrantLock lock = new ReentrantLock();
+  private final List<Waiter> waiters = new ArrayList<>();
+  private int size;
+  private int taken;
+
+  LinkPermits(InstantSource clock, int size) {
+    this.clock = clock;
+    this.size = size;
+  }
+
+  /** Takes a permit; false if none became free in time. */
+  boolean tryAcquire(Urgency urgency, Duration longest) throws InterruptedException {
+    lock.lock();
+    try {
+      if (taken < size && waiters.isEmpty()) {
+        taken++;
+        return true;
+      }
+      return await(new Waiter(urgency, lock.newCondition()), longest);
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  void release() {
+    lock.lock();
+    try {
+      taken--;
+      grant();
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  void resize(int newSize) {
+    lock.lock();
+    try {
+      size = newSize;
+      grant();
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Tells whether more permits are out than there should be. */
+  boolean isShrinking() {
+    lock.lock();
+    try {
+      return taken > size;
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  int waiting() {
+    lock.lock();
+    try {
+      return waiters.size();
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  private boolean await(Waiter waiter, Duration longest) throws InterruptedException {
+    waiters.add(waiter);
+    grant();
+    long left = longest.toNanos();
+    try {
+      while (!waiter.granted && left > 0) {
+        left = waiter.changed.awaitNanos(left);
+      }
+    } catch (InterruptedException interrupted) {
+      giveUp(waiter);
+      throw interrupted;
+    }
+    waiters.remove(waiter);
+    return waiter.granted;
+  }
+
+  private void giveUp(Waiter waiter) {
+    waiters.remove(waiter);
+    if (waiter.granted) {
+      taken--;
+      grant();
+    }
+  }
+
+  private void grant() {
+    while (taken < size) {
+      Waiter next = mostUrgent();
+      if (next == null) {
+        return;
+      }
+      waiters.remove(next);
+      next.granted = true;
+      taken++;
+      next.changed.signal();
+    }
+  }
+
+  private Waiter mostUrgent() {
+    Instant now = clock.instant();
+    Waiter best = null;
+    for (Waiter waiter : waiters) {
+      if (best == null || waiter.urgency.isBefore(best.urgency, now)) {
+        best = waiter;
+      }
+    }
+    return best;
+  }
+
+  /** One that waits; guarded by the lock. */
+  private static final class Waiter {
+    private final Urgency urgency;
+    private final Condition changed;
+    private boolean granted;
+
+    Waiter(Urgency urgency, Condition changed) {
+      this.urgency = urgency;
+      this.changed = changed;
+    }
+  }
+}
--- a/serving/src/main/java/org/mimosacleat/serving/session/Attempt.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/Attempt.java
@@ -13,6 +13,8 @@
 import org.mimosacleat.serving.endpoint.EndpointPool;
 import org.mimosacleat.serving.endpoint.LeasedLink;
 import org.mimosacleat.serving.endpoint.LinkResult;
+import org.mimosacleat.serving.endpoint.Urgency;
+import org.mimosacleat.serving.fleet.Route;
 import org.mimosacleat.serving.statement.Answer;
 import org.mimosacleat.serving.statement.PreparedShape;
 
@@ -22,20 +24,30 @@
   private static final int SILENCE_FACTOR = 12;
 
   private static final Duration SHORTEST_SILENCE = Duration.ofMillis(300);
+  private static final Duration LONGEST_WAIT_FOR_LINK = Duration.ofMillis(60);
 
   private final SessionParts parts;
   private final SessionState session;
+  private final Route route;
   private final GroupId group;
 
-  Attempt(SessionParts parts, SessionState session, GroupId group) {
+  Attempt(SessionParts parts, SessionState session, Route route) {
     this.parts = parts;
     this.session = session;
-    this.group = group;
+    this.route = route;
+    this.group = route.group();
   }
 
-  /** Leases a connection; on the left the step that follows if there is none. */
+  /**
+   * Leases a connection; on the left the step that follows if there is none. After a while of
+   * waiting the endpoint is chosen anew; the place among those that wait depends on the arrival.
+   *
+   * @param deadline until when the statement has to be answered
+   */
   Either<Step, LeasedLink> lease(EndpointPool pool, Instant deadline, boolean primary) {
-    Either<Failure, LeasedLink> leased = pool.lease(session.values(), deadline);
+    Urgency urgency = Urgency.of(route, deadline.minus(route.statementTimeout()));
+    Instant until = earlier(parts.clock().instant().plus(LONGEST_WAIT_FOR_LINK), deadline);
+    Either<Failure, LeasedLink> leased = pool.lease(session.values(), urgency, until);
     if (leased.isLeft()) {
       Failure failure = leased.getLeft();
       if (primary && failure.kind() == ErrorKind.UNAVAILABLE) {
@@ -58,8 +70,11 @@
   Instant silenceLimit(EndpointPool pool, Instant deadline) {
     Duration usual = pool.health().answerTime().multipliedBy(SILENCE_FACTOR);
     Duration limit = usual.compareTo(SHORTEST_SILENCE) > 0 ? usual : SHORTEST_SILENCE;
-    Instant end = parts.clock().instant().plus(limit);
-    return end.isBefore(deadline) ? end : deadline;
+    return earlier(parts.clock().instant().plus(limit), deadline);
+  }
+
+  private static Instant earlier(Instant one, Instant other) {
+    return one.isBefore(other) ? one : other;
   }
 
   /** Takes note of the primary's position in an answer that only a primary gives. */
--- a/serving/src/main/java/org/mimosacleat/serving/session/AttemptLoop.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/AttemptLoop.java
@@ -27,7 +27,7 @@
  * nothing is kept are followed by another.
  */
 final class AttemptLoop {
-  private static final int MOST_ATTEMPTS = 12;
+  private static final int MOST_ATTEMPTS = 40;
 
   /**
    * The part of a statement's time that may pass before it is refused as not run: a planned
--- a/serving/src/main/java/org/mimosacleat/serving/session/OpenTransaction.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/OpenTransaction.java
@@ -41,7 +41,7 @@
     this.session = session;
     this.route = route;
     this.readOnly = readOnly;
-    this.attempt = new Attempt(parts, session, route.group());
+    this.attempt = new Attempt(parts, session, route);
   }
 
   TransactionStatus status() {
--- a/serving/src/main/java/org/mimosacleat/serving/session/SingleStatements.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/SingleStatements.java
@@ -30,7 +30,7 @@
   Answer run(Forwarded statement, Route route) {
     Instant arrivedAt = parts.clock().instant();
     Instant deadline = arrivedAt.plus(route.statementTimeout());
-    Attempt attempt = new Attempt(parts, session, route.group());
+    Attempt attempt = new Attempt(parts, session, route);
     if (statement.writes()) {
       return parts
           .loop()
--- a/serving/src/test/java/org/mimosacleat/serving/FakeEndpoint.java
+++ b/serving/src/test/java/org/mimosacleat/serving/FakeEndpoint.java
@@ -84,7 +84,8 @@
         startedAt);
   }
 
-  EndpointLink connect() {
+  /** Opens a connection. */
+  public EndpointLink connect() {
     return new Link();
   }
 
