Let the build go on without an archive of classes if the rehearsal fails twice

Without the archive a proxy starts as before the archive was made; checked by a start with a file that does not exist.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -17,6 +17,10 @@
 
 # The class path and the options must be the same here and in system.toml, or the archive is refused.
 printf -- '-cp %s\n' "$(printf '%s\n' target/app/*.jar | paste -sd:)" > target/app/classpath
-target/rt/bin/java -Xmx96m -Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:-UsePerfData \
-  -XX:AOTCacheOutput=target/app.aot \
-  @target/app/classpath org.mimosacleat.platform.Main rehearse > target/app/rehearsal.log 2>&1
+rehearse() {
+  target/rt/bin/java -Xmx96m -Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:-UsePerfData \
+    -XX:AOTCacheOutput=target/app.aot \
+    @target/app/classpath org.mimosacleat.platform.Main rehearse > target/app/rehearsal.log 2>&1
+}
+# Another program may take a port of the rehearsal; without an archive a proxy starts, only later.
+rehearse || rehearse || echo "no archive of classes: see target/app/rehearsal.log" >&2
