--- a/serving/src/main/java/org/mimosacleat/serving/endpoint/EndpointHealth.java
+++ b/serving/src/main/java/org/mimosacleat/serving/endpoint/EndpointHealth.java
@@ -21,15 +21,7 @@
     this.clock = clock;
     this.view =
         new AtomicReference<>(
-            new View(
-                FIRST_ESTIMATE,
-                Instant.MIN,
-                Instant.MIN,
-                0,
-                Position.NONE,
-                Position.NONE,
-                Instant.MIN,
-                0));
+            new View(FIRST_ESTIMATE, Instant.MIN, 0, Position.NONE, Position.NONE, Instant.MIN, 0));
   }
 
   /** Returns how long a statement takes here, smoothed. */
@@ -37,11 +29,6 @@
     return view.get().answerTime();
   }
 
-  /** Returns when the endpoint last answered anything. */
-  public Instant lastAnswerAt() {
-    return view.get().lastAnswerAt();
-  }
-
   /** Tells whether the endpoint has failed lately and should be avoided. */
   public boolean isSuspect() {
     return clock.instant().isBefore(view.get().suspectUntil());
@@ -68,13 +55,11 @@
   }
 
   void answered() {
-    Instant now = clock.instant();
-    view.updateAndGet(known -> known.answered(known.answerTime(), now));
+    view.updateAndGet(known -> known.answered(known.answerTime()));
   }
 
   void answered(Duration time) {
-    Instant now = clock.instant();
-    view.updateAndGet(known -> known.answered(smoothed(known.answerTime(), time), now));
+    view.updateAndGet(known -> known.answered(smoothed(known.answerTime(), time)));
   }
 
   /** Takes note of the end of the endpoint's log. */
@@ -90,34 +75,25 @@
 
   private record View(
       Duration answerTime,
-      Instant lastAnswerAt,
       Instant suspectUntil,
       int failures,
       Position seen,
       Position lacked,
       Instant behindUntil,
       int lags) {
-    View answered(Duration time, Instant now) {
-      return new View(time, now, Instant.MIN, 0, seen, lacked, behindUntil, lags);
+    View answered(Duration time) {
+      return new View(time, Instant.MIN, 0, seen, lacked, behindUntil, lags);
     }
 
     View failed(Instant now) {
       Duration pause = SHORTEST_AVOIDANCE.multipliedBy(1L << Math.min(failures, MOST_DOUBLINGS));
-      return new View(
-          answerTime, lastAnswerAt, now.plus(pause), failures + 1, seen, lacked, behindUntil, lags);
+      return new View(answerTime, now.plus(pause), failures + 1, seen, lacked, behindUntil, lags);
     }
 
     View lacked(Position position, Instant now) {
       Duration pause = SHORTEST_LAG_PAUSE.multipliedBy(1L << Math.min(lags, MOST_DOUBLINGS));
       return new View(
-          answerTime,
-          lastAnswerAt,
-          suspectUntil,
-          failures,
-          seen,
-          position,
-          now.plus(pause),
-          lags + 1);
+          answerTime, suspectUntil, failures, seen, position, now.plus(pause), lags + 1);
     }
 
     View at(Position position) {
@@ -125,15 +101,7 @@
         return this;
       }
       int lagsLeft = position.includes(lacked) ? 0 : lags;
-      return new View(
-          answerTime,
-          lastAnswerAt,
-          suspectUntil,
-          failures,
-          position,
-          lacked,
-          behindUntil,
-          lagsLeft);
+      return new View(answerTime, suspectUntil, failures, position, lacked, behindUntil, lagsLeft);
     }
   }
 }
--- a/serving/src/main/java/org/mimosacleat/serving/endpoint/EndpointPool.java
+++ b/serving/src/main/java/org/mimosacleat/serving/endpoint/EndpointPool.java
@@ -76,7 +76,7 @@
 
   /** Estimates how long one more statement takes here. */
   public Duration expectedTime() {
-    return health.answerTime().multipliedBy(leased.get() + 1L + permits.waiting());
+    return health.answerTime().multipliedBy(leased.get() + 1L + waiting());
   }
 
   /**
@@ -163,14 +163,12 @@
   /** An endpoint that takes no more connections still serves those that are open. */
   private void dialFailed(Failure failure) {
     int open = idle.size() + inUse.size();
-    if (failure.kind() != ErrorKind.TOO_MANY_CONNECTIONS) {
-      health.failed();
-    } else if (open > 0) {
-      cappedUntil.set(clock.instant().plus(PAUSE_BETWEEN_REFUSED_CONNECTIONS));
-      permits.resize(Math.min(open, maximumLinks.get()));
-    } else {
+    if (failure.kind() != ErrorKind.TOO_MANY_CONNECTIONS || open == 0) {
       health.failed();
+      return;
     }
+    cappedUntil.set(clock.instant().plus(PAUSE_BETWEEN_REFUSED_CONNECTIONS));
+    permits.resize(Math.min(open, maximumLinks.get()));
   }
 
   /** Lets the pool grow again, some time after the endpoint refused a connection. */
