--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -18,7 +18,7 @@
 # The class path and the options must be the same here and in system.toml, or the archive is refused.
 printf -- '-cp %s\n' "$(printf '%s\n' target/app/*.jar | paste -sd:)" > target/app/classpath
 rehearse() {
-  target/rt/bin/java -Xmx96m -Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:-UsePerfData \
+  target/rt/bin/java -Xmx96m -Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:-UsePerfData --sun-misc-unsafe-memory-access=allow \
     -XX:AOTCacheOutput=target/app.aot \
     @target/app/classpath org.mimosacleat.platform.Main rehearse > target/app/rehearsal.log 2>&1
 }
--- a/serving/src/main/java/org/mimosacleat/serving/drain/Drain.java
+++ b/serving/src/main/java/org/mimosacleat/serving/drain/Drain.java
@@ -18,14 +18,21 @@
   private static final Duration RESERVE = Duration.ofMillis(600);
 
   private final ClientChannels channels;
+  private final RelayedWork relayedWork;
   private final InstantSource clock;
   private final Sleeper sleeper;
   private final DrainTimes times;
   private final AtomicBoolean started = new AtomicBoolean();
 
   /** Creates a drain that has not started. */
-  public Drain(ClientChannels channels, InstantSource clock, Sleeper sleeper, DrainTimes times) {
+  public Drain(
+      ClientChannels channels,
+      RelayedWork relayedWork,
+      InstantSource clock,
+      Sleeper sleeper,
+      DrainTimes times) {
     this.channels = channels;
+    this.relayedWork = relayedWork;
     this.clock = clock;
     this.sleeper = sleeper;
     this.times = times;
@@ -36,16 +43,21 @@
     return started.get();
   }
 
+  private boolean hasWork() {
+    return channels.count() > 0 || relayedWork.unfinished() > 0;
+  }
+
   /** Drains; returns when no connection is open or only the reserve of the grace period is left. */
   public void run() {
     started.set(true);
+    relayedWork.refuseNew();
     Instant start = clock.instant();
     Instant closingStart = start.plus(times.readinessDelay());
     Instant deadline = start.plus(times.grace()).minus(RESERVE);
     while (clock.instant().isBefore(closingStart)) {
       sleeper.sleep(CHECK_INTERVAL);
     }
-    while (channels.count() > 0 && clock.instant().isBefore(deadline)) {
+    while (hasWork() && clock.instant().isBefore(deadline)) {
       channels.closeIdle();
       sleeper.sleep(CHECK_INTERVAL);
     }
--- a/serving/src/main/java/org/mimosacleat/serving/endpoint/ConnectionShare.java
+++ b/serving/src/main/java/org/mimosacleat/serving/endpoint/ConnectionShare.java
@@ -1,12 +1,13 @@
 package org.mimosacleat.serving.endpoint;
 
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import org.mimosacleat.core.check.Checks;
 
 /**
- * Divides an endpoint's connection limit between the proxies, so that all proxies together stay
- * below it.
+ * Divides an endpoint's connection limit between the proxies that connect to it, so that all of
+ * them together stay below it. In a small fleet every proxy connects; in a large one only the
+ * gateways of the group, as many in each zone as the limit allows.
  */
 public final class ConnectionShare {
   /** The minimum for each proxy, whatever the number of proxies. */
@@ -22,17 +23,27 @@
    */
   private static final double DIVIDED_FRACTION = 0.6;
 
-  private final AtomicInteger proxies;
+  /** With fewer connections for each proxy, only the gateways connect. */
+  private static final int MIN_CONNECTIONS_WITHOUT_GATEWAYS = 2;
+
+  /** One transaction that rests must not hold up the other statements of a gateway. */
+  private static final int MIN_CONNECTIONS_OF_GATEWAY = 3;
+
+  /** More gateways would each see too little of a group to know its primary's positions. */
+  private static final int MAX_GATEWAYS_PER_ZONE = 4;
+
+  private final AtomicReference<FleetSize> size;
   private final AtomicBoolean earlierConnectionsClosed = new AtomicBoolean();
 
   /** Creates a share from an estimate of the number of proxies. */
   public ConnectionShare(int proxies) {
-    this.proxies = new AtomicInteger((int) Checks.positive("number of proxies", proxies));
+    this.size = new AtomicReference<>(new FleetSize(proxies, 1));
   }
 
-  /** Sets the number of proxies and returns whether it has changed. */
-  public boolean setProxyCount(int count) {
-    return proxies.getAndSet(Math.max(1, count)) != Math.max(1, count);
+  /** Sets the number of proxies and of their zones, and returns whether one has changed. */
+  public boolean setFleetSize(int proxies, int zones) {
+    FleetSize next = new FleetSize(Math.max(1, proxies), Math.max(1, zones));
+    return !size.getAndSet(next).equals(next);
   }
 
   /**
@@ -43,18 +54,38 @@
     earlierConnectionsClosed.set(true);
   }
 
+  /** Returns how many proxies of a zone connect to an endpoint with this limit. */
+  public int gatewaysPerZone(int maxConnections) {
+    FleetSize now = size.get();
+    double divided = maxConnections * DIVIDED_FRACTION;
+    if (divided / now.proxies() >= MIN_CONNECTIONS_WITHOUT_GATEWAYS) {
+      return now.proxies();
+    }
+    int affordable = (int) (divided / (now.zones() * MIN_CONNECTIONS_OF_GATEWAY));
+    return Math.clamp(affordable, 1, MAX_GATEWAYS_PER_ZONE);
+  }
+
   /**
-   * Returns how many connections this proxy may hold to an endpoint with this limit. Until the
+   * Returns how many connections a gateway may hold to an endpoint with this limit. Until the
    * connections of an earlier run are closed, both runs together must fit into this proxy's equal
    * part of the limit.
    */
   public int connectionsPerEndpoint(int maxConnections) {
-    int share = (int) (maxConnections * DIVIDED_FRACTION / proxies.get());
+    FleetSize now = size.get();
+    int gateways = Math.min(now.proxies(), gatewaysPerZone(maxConnections) * now.zones());
+    int share = (int) (maxConnections * DIVIDED_FRACTION / gateways);
     int connections = Math.clamp(share, MIN_CONNECTIONS, MAX_CONNECTIONS);
     if (earlierConnectionsClosed.get()) {
       return connections;
     }
-    int remaining = maxConnections / proxies.get() - connections;
+    int remaining = maxConnections / gateways - connections;
     return Math.clamp(remaining, MIN_CONNECTIONS, connections);
   }
+
+  private record FleetSize(int proxies, int zones) {
+    FleetSize {
+      Checks.positive("number of proxies", proxies);
+      Checks.positive("number of zones", zones);
+    }
+  }
 }
--- a/serving/src/main/java/org/mimosacleat/serving/endpoint/EndpointPool.java
+++ b/serving/src/main/java/org/mimosacleat/serving/endpoint/EndpointPool.java
@@ -21,7 +21,8 @@
  * transaction; waiting sessions are served in order of urgency.
  */
 public final class EndpointPool {
-  private static final Duration REFUSED_CONNECTION_DELAY = Duration.ofMillis(250);
+  private static final Duration MIN_REFUSED_CONNECTION_DELAY = Duration.ofMillis(250);
+  private static final int MAX_DELAY_DOUBLINGS = 3;
 
   private final EndpointDialer dialer;
   private final InstantSource clock;
@@ -29,7 +30,8 @@
   private final ConnectionPermits permits;
   private final ConcurrentLinkedDeque<PooledConnection> idle = new ConcurrentLinkedDeque<>();
   private final Set<PooledConnection> inUse = ConcurrentHashMap.newKeySet();
-  private final AtomicInteger maxConnections;
+  private final AtomicReference<PoolSize> size;
+  private final AtomicInteger refusedConnections = new AtomicInteger();
 
   /**
    * Until when no further connection is opened because the endpoint refused one; {@link
@@ -44,15 +46,15 @@
   /**
    * Creates an empty pool.
    *
-   * @param maxConnections the maximum number of connections
+   * @param size how many connections it may have
    */
   public EndpointPool(
-      EndpointEntry entry, EndpointDialer dialer, InstantSource clock, int maxConnections) {
+      EndpointEntry entry, EndpointDialer dialer, InstantSource clock, PoolSize size) {
     this.entry = new AtomicReference<>(entry);
     this.dialer = dialer;
     this.clock = clock;
-    this.maxConnections = new AtomicInteger(maxConnections);
-    this.permits = new ConnectionPermits(clock, maxConnections);
+    this.size = new AtomicReference<>(size);
+    this.permits = new ConnectionPermits(clock, size.maxConnections());
     this.health = new EndpointHealth(clock);
   }
 
@@ -66,10 +68,13 @@
     entry.set(current);
   }
 
-  /** Changes the maximum number of connections. */
-  public void resize(int maxConnections) {
-    this.maxConnections.set(maxConnections);
-    permits.resize(maxConnections);
+  /** Changes how many connections the pool may have. */
+  public void resize(PoolSize next) {
+    size.set(next);
+    permits.resize(next.maxConnections());
+    if (!next.keepsIdle()) {
+      closeIdle();
+    }
   }
 
   /** Returns the health of the endpoint as seen in its answers. */
@@ -92,6 +97,10 @@
   public Either<Failure, BorrowedConnection> borrow(
       Map<String, String> values, Urgency urgency, Instant until) {
     liftCap();
+    if (refusesConnections()) {
+      return failure(
+          ErrorKind.TOO_MANY_CONNECTIONS, "endpoint " + entry().id() + " admits no connection now");
+    }
     if (!acquirePermit(urgency, until)) {
       return failure(
           ErrorKind.OVERLOADED,
@@ -108,6 +117,7 @@
       returnPermit();
       return Either.left(dialed.getLeft());
     }
+    refusedConnections.set(0);
     health.recordAnswer();
     return Either.right(newBorrowedConnection(new PooledConnection(dialed.get())));
   }
@@ -138,7 +148,8 @@
 
   void release(PooledConnection pooled) {
     inUse.remove(pooled);
-    if (pooled.connection().isOpen() && !closed.get() && !permits.isShrinking()) {
+    boolean keeps = size.get().keepsIdle() && !closed.get() && !permits.isShrinking();
+    if (keeps && pooled.connection().isOpen()) {
       idle.push(pooled);
     } else {
       pooled.connection().close();
@@ -166,16 +177,32 @@
 
   /**
    * Records a failed dial. An endpoint that refuses further connections still serves the open ones,
-   * so it isn't marked as failed; the pool is limited to its open connections for a while.
+   * so the pool is limited to its open connections for a while. A pool without one is suspect
+   * meanwhile: a proxy that dials again at once only takes time from the endpoint.
    */
   private void recordDialFailure(Failure failure) {
-    int open = idle.size() + inUse.size();
-    if (failure.kind() != ErrorKind.TOO_MANY_CONNECTIONS || open == 0) {
+    if (failure.kind() != ErrorKind.TOO_MANY_CONNECTIONS) {
       health.recordFailure();
       return;
     }
-    cappedUntil.set(clock.instant().plus(REFUSED_CONNECTION_DELAY));
-    permits.resize(Math.min(open, maxConnections.get()));
+    int doublings = Math.min(refusedConnections.getAndIncrement(), MAX_DELAY_DOUBLINGS);
+    cappedUntil.set(
+        clock.instant().plus(MIN_REFUSED_CONNECTION_DELAY.multipliedBy(1L << doublings)));
+    permits.resize(Math.min(open(), size.get().maxConnections()));
+  }
+
+  private int open() {
+    return idle.size() + inUse.size();
+  }
+
+  /** Returns whether a connection was refused a moment ago and none is open. */
+  public boolean refusesConnections() {
+    return clock.instant().isBefore(cappedUntilOrPast()) && open() == 0;
+  }
+
+  private Instant cappedUntilOrPast() {
+    Instant until = cappedUntil.get();
+    return until.equals(Instant.MAX) ? Instant.MIN : until;
   }
 
   /** Lets the pool grow again once the delay after a refused connection is over. */
@@ -183,7 +210,7 @@
     Instant until = cappedUntil.get();
     boolean over = !until.equals(Instant.MAX) && !clock.instant().isBefore(until);
     if (over && cappedUntil.compareAndSet(until, Instant.MAX)) {
-      permits.resize(maxConnections.get());
+      permits.resize(size.get().maxConnections());
     }
   }
 
--- a/serving/src/main/java/org/mimosacleat/serving/endpoint/EndpointPools.java
+++ b/serving/src/main/java/org/mimosacleat/serving/endpoint/EndpointPools.java
@@ -3,6 +3,7 @@
 import java.time.InstantSource;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Predicate;
 import org.mimosacleat.core.id.EndpointId;
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.serving.fleet.EndpointEntry;
@@ -14,15 +15,25 @@
   private final InstantSource clock;
   private final FleetState fleet;
   private final ConnectionShare share;
+  private final Predicate<GroupId> isGateway;
   private final ConcurrentHashMap<EndpointId, EndpointPool> pools = new ConcurrentHashMap<>();
 
-  /** Creates an instance without endpoints. */
+  /**
+   * Creates an instance without endpoints.
+   *
+   * @param isGateway whether this proxy keeps connections to the endpoints of a group
+   */
   public EndpointPools(
-      EndpointDialer dialer, InstantSource clock, FleetState fleet, ConnectionShare share) {
+      EndpointDialer dialer,
+      InstantSource clock,
+      FleetState fleet,
+      ConnectionShare share,
+      Predicate<GroupId> isGateway) {
     this.dialer = dialer;
     this.clock = clock;
     this.fleet = fleet;
     this.share = share;
+    this.isGateway = isGateway;
   }
 
   /** Adds an endpoint or updates its entry. */
@@ -54,14 +65,18 @@
 
   /** Resizes all pools after a change of the limits or of the number of proxies. */
   public void resize() {
-    pools.values().forEach(pool -> pool.resize(connectionsTo(pool.entry().group())));
+    pools.values().forEach(pool -> pool.resize(sizeFor(pool.entry().group())));
   }
 
   private EndpointPool replace(EndpointPool known, EndpointEntry entry) {
     if (known != null) {
       known.close();
     }
-    return new EndpointPool(entry, dialer, clock, connectionsTo(entry.group()));
+    return new EndpointPool(entry, dialer, clock, sizeFor(entry.group()));
+  }
+
+  private PoolSize sizeFor(GroupId group) {
+    return isGateway.test(group) ? new PoolSize(connectionsTo(group), true) : PoolSize.ON_DEMAND;
   }
 
   private int connectionsTo(GroupId group) {
--- a/platform/src/main/java/org/mimosacleat/platform/wire/Sockets.java
+++ b/serving/src/main/java/org/mimosacleat/serving/network/Sockets.java
@@ -1,4 +1,4 @@
-package org.mimosacleat.platform.wire;
+package org.mimosacleat.serving.network;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
--- /dev/null
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/FeedCodec.java
@@ -0,0 +1,39 @@
+package org.mimosacleat.serving.peer;
+
+import java.io.IOException;
+import org.mimosacleat.serving.feed.FeedPage;
+import org.mimosacleat.serving.feed.FeedRow;
+import org.mimosacleat.wire.fleet.MessagePackUtil;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** Encodes and decodes changes of the store. */
+final class FeedCodec {
+  private FeedCodec() {}
+
+  static void pack(MessagePacker packer, FeedPage page) throws IOException {
+    packer.packString(page.table()).packLong(page.after()).packLong(page.version());
+    MessagePackUtil.writeList(packer, page.rows(), FeedCodec::packRow);
+  }
+
+  static FeedPage unpack(MessageUnpacker unpacker) throws IOException {
+    return new FeedPage(
+        unpacker.unpackString(),
+        unpacker.unpackLong(),
+        unpacker.unpackLong(),
+        MessagePackUtil.readList(unpacker, FeedCodec::unpackRow));
+  }
+
+  private static void packRow(MessagePacker packer, FeedRow row) throws IOException {
+    packer.packString(row.key()).packLong(row.version()).packBoolean(row.removed());
+    packer.packBinaryHeader(row.value().length).writePayload(row.value());
+  }
+
+  private static FeedRow unpackRow(MessageUnpacker unpacker) throws IOException {
+    String key = unpacker.unpackString();
+    long version = unpacker.unpackLong();
+    boolean removed = unpacker.unpackBoolean();
+    byte[] value = unpacker.readPayload(unpacker.unpackBinaryHeader());
+    return new FeedRow(key, value, version, removed);
+  }
+}
--- /dev/null
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/FleetMembers.java
@@ -0,0 +1,53 @@
+package org.mimosacleat.serving.peer;
+
+import java.net.InetAddress;
+import java.util.Collection;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.mimosacleat.core.id.VmId;
+
+/** The proxies of the fleet that hold a lease, this one included. */
+public final class FleetMembers {
+  private final FleetMember self;
+  private final AtomicReference<Map<VmId, FleetMember>> members;
+
+  /** Creates a fleet that consists of this proxy alone. */
+  public FleetMembers(FleetMember self) {
+    this.self = self;
+    this.members = new AtomicReference<>(Map.of(self.vm(), self));
+  }
+
+  /** Returns this proxy. */
+  public FleetMember self() {
+    return self;
+  }
+
+  /** Replaces the members; this proxy remains one. Returns whether the members have changed. */
+  public boolean replace(Collection<FleetMember> current) {
+    Map<VmId, FleetMember> byVm =
+        current.stream()
+            .filter(member -> !member.vm().equals(self.vm()))
+            .collect(Collectors.toMap(FleetMember::vm, Function.identity(), (first, _) -> first));
+    byVm.put(self.vm(), self);
+    Map<VmId, FleetMember> next = Map.copyOf(byVm);
+    return !members.getAndSet(next).equals(next);
+  }
+
+  /** Returns all members. */
+  public Collection<FleetMember> all() {
+    return members.get().values();
+  }
+
+  /** Returns the member on a VM. */
+  public Optional<FleetMember> find(VmId vm) {
+    return Optional.ofNullable(members.get().get(vm));
+  }
+
+  /** Returns whether a member has this IP address. */
+  public boolean hasAddress(InetAddress address) {
+    return all().stream().anyMatch(member -> member.address().getAddress().equals(address));
+  }
+}
--- /dev/null
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/PeerFrame.java
@@ -0,0 +1,76 @@
+package org.mimosacleat.serving.peer;
+
+import java.time.Duration;
+import org.mimosacleat.serving.feed.FeedPage;
+import org.mimosacleat.serving.promotion.RecordedPrimary;
+import org.mimosacleat.serving.relay.RelayReply;
+import org.mimosacleat.serving.relay.RelayRequest;
+
+/** One message between two proxies. */
+sealed interface PeerFrame {
+  /**
+   * Asks the receiver to run a request.
+   *
+   * @param correlationId chosen by the sender, unique on this connection
+   * @param request the request
+   */
+  record Request(long correlationId, RelayRequest request) implements PeerFrame {}
+
+  /**
+   * Answers the request with the same correlation id.
+   *
+   * @param correlationId the id of the request
+   * @param reply the reply
+   */
+  record Reply(long correlationId, RelayReply reply) implements PeerFrame {}
+
+  /**
+   * Says that the request with the same correlation id was not run.
+   *
+   * @param correlationId the id of the request
+   * @param reason why
+   */
+  record Rejected(long correlationId, String reason) implements PeerFrame {}
+
+  /**
+   * Asks the receiver to stop using the primary that a claim replaces.
+   *
+   * @param correlationId chosen by the sender, unique on this connection
+   * @param claim the recorded claim of the sender
+   */
+  record StopPrimary(long correlationId, RecordedPrimary claim) implements PeerFrame {}
+
+  /**
+   * Confirms the request with the same correlation id.
+   *
+   * @param correlationId the id of the request
+   * @param fenced whether the primary was fenced
+   */
+  record Stopped(long correlationId, boolean fenced) implements PeerFrame {}
+
+  /** Asks the receiver to pass on the changes that it reads from the store. */
+  record Follow() implements PeerFrame {}
+
+  /**
+   * Passes changes on.
+   *
+   * @param page the changes
+   */
+  record Changes(FeedPage page) implements PeerFrame {}
+
+  /**
+   * Reports the contact of the sender to the store.
+   *
+   * @param age how long ago the store last answered
+   */
+  record StoreContact(Duration age) implements PeerFrame {}
+
+  /** Asks for a {@link Pong}, which shows that the receiver is alive. */
+  record Ping() implements PeerFrame {}
+
+  /** Answers a {@link Ping}. */
+  record Pong() implements PeerFrame {}
+
+  /** Announces that the sender is shutting down: it takes no new statements or transactions. */
+  record Leaving() implements PeerFrame {}
+}
--- /dev/null
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/PeerServer.java
@@ -0,0 +1,133 @@
+package org.mimosacleat.serving.peer;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
+import org.mimosacleat.core.id.VmId;
+import org.mimosacleat.serving.drain.RelayedWork;
+import org.mimosacleat.serving.feed.FeedPublisher;
+import org.mimosacleat.serving.network.Sockets;
+import org.mimosacleat.serving.promotion.RecordedPrimary;
+import org.mimosacleat.serving.session.RelayedStatements;
+import org.tinylog.Logger;
+
+/** Accepts connections of other proxies and runs the statements that they relay. */
+public final class PeerServer implements RelayedWork {
+  private static final int BACKLOG = 512;
+
+  private final ServerSocket listener;
+  private final FleetMembers members;
+  private final Runnable unknownPeerListener;
+  private final Supplier<RelayedStatements> statements;
+  private final Predicate<RecordedPrimary> stopListener;
+  private final FeedPublisher publisher;
+  private final ExecutorService executor;
+  private final Set<PeerSession> sessions = ConcurrentHashMap.newKeySet();
+  private volatile boolean leaving;
+
+  private PeerServer(
+      ServerSocket listener,
+      FleetMembers members,
+      Runnable unknownPeerListener,
+      Supplier<RelayedStatements> statements,
+      Predicate<RecordedPrimary> stopListener,
+      FeedPublisher publisher,
+      ExecutorService executor) {
+    this.listener = listener;
+    this.members = members;
+    this.unknownPeerListener = unknownPeerListener;
+    this.statements = statements;
+    this.stopListener = stopListener;
+    this.publisher = publisher;
+    this.executor = executor;
+  }
+
+  /**
+   * Listens on an address and serves each connection as a separate task of the executor.
+   *
+   * @param unknownPeerListener called when a VM connects that is not known as a member; it should
+   *     read the members again
+   * @param statements creates what runs the statements of one connection
+   * @param stopListener stops the use of a primary; returns whether the primary was fenced
+   * @param publisher passes changes in the store on
+   */
+  public static PeerServer start(
+      InetSocketAddress address,
+      FleetMembers members,
+      Runnable unknownPeerListener,
+      Supplier<RelayedStatements> statements,
+      Predicate<RecordedPrimary> stopListener,
+      FeedPublisher publisher,
+      ExecutorService executor)
+      throws IOException {
+    ServerSocket socket = new ServerSocket();
+    socket.setReuseAddress(true);
+    socket.bind(address, BACKLOG);
+    PeerServer server =
+        new PeerServer(
+            socket, members, unknownPeerListener, statements, stopListener, publisher, executor);
+    executor.execute(server::accept);
+    return server;
+  }
+
+  @Override
+  public void refuseNew() {
+    leaving = true;
+    try {
+      listener.close();
+    } catch (IOException failed) {
+      Logger.warn("the listener for other proxies could not be closed: {}", failed.getMessage());
+    }
+    sessions.forEach(PeerSession::leave);
+  }
+
+  @Override
+  public int unfinished() {
+    return sessions.stream().mapToInt(PeerSession::unfinishedWork).sum();
+  }
+
+  private void accept() {
+    while (!listener.isClosed()) {
+      try {
+        Socket socket = listener.accept();
+        executor.execute(() -> serve(socket));
+      } catch (IOException failed) {
+        if (!listener.isClosed()) {
+          Logger.warn("connection of a proxy could not be accepted: {}", failed.getMessage());
+        }
+      }
+    }
+  }
+
+  private void serve(Socket socket) {
+    VmId self = members.self().vm();
+    try (PeerTransport transport = new PeerTransport(socket);
+        RelayedStatements relayed = statements.get()) {
+      if (!members.hasAddress(socket.getInetAddress())) {
+        Logger.info("connection from {} refused: not a known proxy", socket.getInetAddress());
+        unknownPeerListener.run();
+        return;
+      }
+      Sockets.keepAlive(socket);
+      PeerSession session = new PeerSession(transport, relayed, stopListener, publisher, executor);
+      sessions.add(session);
+      try {
+        if (leaving) {
+          session.leave();
+        }
+        session.run(self);
+      } finally {
+        sessions.remove(session);
+      }
+    } catch (IOException ended) {
+      Logger.info(
+          "connection of the proxy at {} ended: {}", socket.getInetAddress(), ended.getMessage());
+    }
+  }
+}
--- /dev/null
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/PeerSession.java
@@ -0,0 +1,134 @@
+package org.mimosacleat.serving.peer;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
+import org.mimosacleat.core.id.VmId;
+import org.mimosacleat.serving.feed.FeedPage;
+import org.mimosacleat.serving.feed.FeedPublisher;
+import org.mimosacleat.serving.feed.FeedSubscriber;
+import org.mimosacleat.serving.promotion.RecordedPrimary;
+import org.mimosacleat.serving.relay.RelayReply;
+import org.mimosacleat.serving.relay.RelayRequest;
+import org.mimosacleat.serving.session.RelayedStatements;
+import org.mimosacleat.wire.peer.PeerProtocolException;
+import org.tinylog.Logger;
+
+/** Serves one connection of another proxy. Each request runs in a separate task. */
+final class PeerSession implements FeedSubscriber {
+  /** More requests of one proxy at a time are rejected. */
+  private static final int MAX_RUNNING = 512;
+
+  private final PeerTransport transport;
+  private final RelayedStatements statements;
+  private final Predicate<RecordedPrimary> stopListener;
+  private final FeedPublisher publisher;
+  private final ExecutorService executor;
+  private final AtomicInteger running = new AtomicInteger();
+  private volatile boolean leaving;
+
+  /**
+   * Creates a session that has read nothing yet.
+   *
+   * @param stopListener stops the use of a primary; returns whether the primary was fenced
+   */
+  PeerSession(
+      PeerTransport transport,
+      RelayedStatements statements,
+      Predicate<RecordedPrimary> stopListener,
+      FeedPublisher publisher,
+      ExecutorService executor) {
+    this.transport = transport;
+    this.statements = statements;
+    this.stopListener = stopListener;
+    this.publisher = publisher;
+    this.executor = executor;
+  }
+
+  /** Serves requests until the connection ends. */
+  void run(VmId self) throws IOException {
+    transport.receiveHello();
+    transport.sendHello(self);
+    try {
+      while (true) {
+        handle(transport.receive());
+      }
+    } finally {
+      publisher.remove(this);
+    }
+  }
+
+  @Override
+  public void sendPage(FeedPage page) {
+    sendOrClose(new PeerFrame.Changes(page));
+  }
+
+  @Override
+  public void sendContact(Duration age) {
+    sendOrClose(new PeerFrame.StoreContact(age));
+  }
+
+  /** Closes the connection if a frame can't be sent; the reading task then ends the session. */
+  private void sendOrClose(PeerFrame frame) {
+    try {
+      transport.send(frame);
+    } catch (IOException ended) {
+      transport.close();
+    }
+  }
+
+  /** Rejects new work from now on; open transactions continue. */
+  void leave() {
+    leaving = true;
+    try {
+      transport.send(new PeerFrame.Leaving());
+    } catch (IOException ended) {
+      Logger.info("could not announce the shutdown to a proxy: {}", ended.getMessage());
+    }
+  }
+
+  int unfinishedWork() {
+    return running.get() + statements.openTransactions();
+  }
+
+  private void handle(PeerFrame frame) throws IOException {
+    switch (frame) {
+      case PeerFrame.Request(long correlationId, RelayRequest request) ->
+          start(correlationId, request);
+      case PeerFrame.StopPrimary(long correlationId, RecordedPrimary claim) ->
+          executor.execute(() -> stopUsingPrimary(correlationId, claim));
+      case PeerFrame.Follow _ -> publisher.add(this);
+      case PeerFrame.Ping _ -> transport.send(new PeerFrame.Pong());
+      default -> throw new PeerProtocolException("a proxy sent a reply in place of a request");
+    }
+  }
+
+  private void stopUsingPrimary(long correlationId, RecordedPrimary claim) {
+    sendOrClose(new PeerFrame.Stopped(correlationId, stopListener.test(claim)));
+  }
+
+  private void start(long correlationId, RelayRequest request) throws IOException {
+    if (leaving && !statements.isOpen(request)) {
+      transport.send(new PeerFrame.Rejected(correlationId, "the proxy is shutting down"));
+      return;
+    }
+    if (running.get() >= MAX_RUNNING) {
+      transport.send(new PeerFrame.Rejected(correlationId, "the proxy is overloaded"));
+      return;
+    }
+    running.incrementAndGet();
+    Supplier<RelayReply> work = statements.register(request);
+    executor.execute(() -> reply(correlationId, work));
+  }
+
+  private void reply(long correlationId, Supplier<RelayReply> work) {
+    try {
+      sendOrClose(new PeerFrame.Reply(correlationId, work.get()));
+    } finally {
+      running.decrementAndGet();
+    }
+  }
+}
--- /dev/null
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/PeerTransport.java
@@ -0,0 +1,64 @@
+package org.mimosacleat.serving.peer;
+
+import java.io.IOException;
+import java.net.Socket;
+import org.mimosacleat.core.id.VmId;
+import org.mimosacleat.wire.peer.PeerChannel;
+import org.mimosacleat.wire.peer.PeerMessage;
+import org.mimosacleat.wire.peer.PeerProtocolException;
+
+/** Sends and receives frames on one socket. Any thread may send, but only one may receive. */
+final class PeerTransport implements AutoCloseable {
+  /** Larger than any client message with its session values. */
+  private static final int MAX_MESSAGE_BYTES = 2 * 1024 * 1024;
+
+  /** The number of this protocol within the messages between proxies. */
+  private static final int RELAY_CHANNEL = 5;
+
+  private static final byte[] NO_NONCE = {};
+
+  private final Socket socket;
+  private final PeerChannel channel;
+
+  PeerTransport(Socket socket) throws IOException {
+    this.socket = socket;
+    this.channel =
+        new PeerChannel(socket.getInputStream(), socket.getOutputStream(), MAX_MESSAGE_BYTES);
+  }
+
+  /** Sends the VM of this proxy, which must be the first message. */
+  void sendHello(VmId self) throws IOException {
+    channel.write(new PeerMessage.Hello(self, NO_NONCE));
+  }
+
+  /** Receives the VM of the other proxy, and accepts messages of any size afterwards. */
+  VmId receiveHello() throws IOException {
+    if (channel.read() instanceof PeerMessage.Hello hello) {
+      channel.raiseReadLimit();
+      return hello.sender();
+    }
+    throw new PeerProtocolException("expected a hello message");
+  }
+
+  void send(PeerFrame frame) throws IOException {
+    channel.write(new PeerMessage.FleetPayload(RELAY_CHANNEL, PeerFrameCodec.encode(frame)));
+  }
+
+  /** Receives the next frame; blocks until it arrives. */
+  PeerFrame receive() throws IOException {
+    if (channel.read() instanceof PeerMessage.FleetPayload payload
+        && payload.channel() == RELAY_CHANNEL) {
+      return PeerFrameCodec.decode(payload.payload());
+    }
+    throw new PeerProtocolException("expected a relay frame");
+  }
+
+  @Override
+  public void close() {
+    try {
+      socket.close();
+    } catch (IOException alreadyBroken) {
+      // A failure to close needs no handling: the connection is unusable in any case.
+    }
+  }
+}
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/FailoverDependencies.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/FailoverDependencies.java
@@ -2,7 +2,9 @@
 
 import java.time.InstantSource;
 import java.util.concurrent.ExecutorService;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
+import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.core.id.VmId;
 import org.mimosacleat.core.time.Sleeper;
 import org.mimosacleat.serving.endpoint.EndpointPools;
@@ -17,6 +19,9 @@
  * @param pools the connection pools of the endpoints
  * @param groupStates this proxy's state of each group, which requests are routed by
  * @param sharedRecords the records that all proxies share
+ * @param access the groups whose primaries this proxy may use
+ * @param isGateway whether this proxy watches a group; the others act only after a while
+ * @param peers asks other proxies directly
  * @param records the newest shared records that this proxy has seen
  * @param administration queries and changes the role of endpoints
  * @param promotionClient sends promotion requests
@@ -31,6 +36,9 @@
     EndpointPools pools,
     GroupStates groupStates,
     SharedRecords sharedRecords,
+    PrimaryAccess access,
+    Predicate<GroupId> isGateway,
+    PeerStops peers,
     PrimaryRecords records,
     EndpointAdministration administration,
     PromotionClient promotionClient,
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/GroupFailoverController.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/GroupFailoverController.java
@@ -37,6 +37,9 @@
   private static final Duration MAX_PROBE_INTERVAL_OVERRUN = Duration.ofMillis(60);
   private static final int FAILED_PROBES_BEFORE_REPLACEMENT = 2;
 
+  /** How long the other proxies leave the replacement of a primary to the gateways. */
+  private static final Duration GATEWAY_ACTION_TIMEOUT = Duration.ofMillis(2_500);
+
   /** How long a group without a listed primary waits for one before a replacement starts. */
   private static final Duration NO_PRIMARY_TIMEOUT = Duration.ofMillis(2_500);
 
@@ -50,6 +53,7 @@
   private long lastSeenVersion;
   private Instant lastSeenVersionAt;
   private Instant primaryLastListedAt;
+  private Instant troubleSince = Instant.MAX;
 
   GroupFailoverController(GroupId group, FailoverDependencies dependencies) {
     this.group = group;
@@ -90,7 +94,9 @@
   void evaluate(Optional<String> reason) {
     Optional<RecordedPrimary> latest = dependencies.records().find(group);
     if (latest.isEmpty()) {
-      writeFirstRecord();
+      if (dependencies.isGateway().test(group)) {
+        writeFirstRecord();
+      }
       return;
     }
     RecordedPrimary recorded = latest.get();
@@ -130,32 +136,61 @@
 
   private void checkPrimary(RecordedPrimary recorded, Optional<String> reason) {
     PrimaryRecord record = recorded.record();
-    record.primary().ifPresent(primary -> state.setPrimary(primary, record.term()));
+    recorded.applyTo(state);
     dependencies.fleet().notifyWaiters();
     if (state.term().isAfter(record.term())) {
       checkLaterTerm(recorded, reason);
       return;
     }
+    if (!hasTrouble(record, reason)) {
+      troubleSince = Instant.MAX;
+      primaryLastListedAt = dependencies.clock().instant();
+      return;
+    }
+    if (!isWatching()) {
+      return;
+    }
     Optional<EndpointEntry> primary = record.primary().flatMap(this::findEndpoint);
     if (primary.isEmpty()) {
       replaceUnlistedPrimary(recorded);
       return;
     }
     primaryLastListedAt = dependencies.clock().instant();
-    if (primary.get().draining() && canReachAnotherEndpoint(primary.get().id())) {
+    if (primary.get().draining()) {
+      replaceDrainingPrimary(recorded, primary.get());
+    } else {
+      probePrimary(recorded, primary.get(), reason.orElse("its connection pool is suspect"));
+    }
+  }
+
+  private void replaceDrainingPrimary(RecordedPrimary recorded, EndpointEntry primary) {
+    sleepRandomly(MAX_START_DELAY);
+    if (!hasChanged(recorded) && canReachAnotherEndpoint(primary.id())) {
       startReplacement(recorded, true, "the primary is draining");
-      return;
     }
-    boolean suspected =
-        reason.isPresent()
-            || dependencies
-                .pools()
-                .find(primary.get().id())
-                .map(pool -> pool.health().isSuspect())
-                .orElse(false);
-    if (suspected) {
-      probePrimary(recorded, primary.get(), reason.orElse("its connection pool is suspect"));
+  }
+
+  /** Returns whether the primary drains, is not listed, or is suspected to be unreachable. */
+  private boolean hasTrouble(PrimaryRecord record, Optional<String> reason) {
+    Optional<EndpointEntry> primary = record.primary().flatMap(this::findEndpoint);
+    return primary.isEmpty()
+        || primary.get().draining()
+        || reason.isPresent()
+        || dependencies
+            .pools()
+            .find(primary.get().id())
+            .map(pool -> pool.health().isSuspect())
+            .orElse(false);
+  }
+
+  /** Returns whether this proxy is to act: as a gateway of the group, or if no gateway has. */
+  private boolean isWatching() {
+    Instant now = dependencies.clock().instant();
+    if (troubleSince.equals(Instant.MAX)) {
+      troubleSince = now;
     }
+    return dependencies.isGateway().test(group)
+        || Duration.between(troubleSince, now).compareTo(GATEWAY_ACTION_TIMEOUT) > 0;
   }
 
   /**
@@ -270,16 +305,17 @@
 
   private void followReplacement(RecordedPrimary recorded) {
     PrimaryRecord record = recorded.record();
-    state.pause(record.term());
+    recorded.applyTo(state);
     Replacement replacement = record.replacement().orElseThrow();
-    if (!replacement.planned() && lastStoppedRound != record.round()) {
+    boolean mayUsePrimary = dependencies.access().mayBeRecorded(group);
+    if (mayUsePrimary && !replacement.planned() && lastStoppedRound != record.round()) {
       stopUsingPrimary(record);
     }
     boolean stalled =
         Duration.between(lastSeenVersionAt, dependencies.clock().instant())
                 .compareTo(TAKEOVER_TIMEOUT)
             > 0;
-    if (stalled) {
+    if (stalled && isWatching()) {
       startReplacement(
           recorded,
           replacement.planned(),
@@ -289,10 +325,7 @@
 
   /** Fences the primary or, if that fails, abandons its connections; then records the stop. */
   private void stopUsingPrimary(PrimaryRecord record) {
-    boolean fenced = fence(record);
-    if (!fenced) {
-      record.primary().flatMap(dependencies.pools()::find).ifPresent(EndpointPool::closeAll);
-    }
+    boolean fenced = fenceOrAbandon(record);
     StopRecord stop = new StopRecord(group, dependencies.self(), record.round(), fenced);
     dependencies
         .sharedRecords()
@@ -312,6 +345,24 @@
     }
   }
 
+  /**
+   * Stops using the primary that a claim replaces; called by the request of another proxy.
+   *
+   * @return whether the primary was fenced
+   */
+  boolean stopUsingPrimaryNow(RecordedPrimary claim) {
+    claim.applyTo(state);
+    return fenceOrAbandon(claim.record());
+  }
+
+  private boolean fenceOrAbandon(PrimaryRecord record) {
+    boolean fenced = fence(record);
+    if (!fenced) {
+      record.primary().flatMap(dependencies.pools()::find).ifPresent(EndpointPool::closeAll);
+    }
+    return fenced;
+  }
+
   private boolean fence(PrimaryRecord record) {
     Term next = record.term().next();
     return record
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/GroupFailoverControllers.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/GroupFailoverControllers.java
@@ -32,6 +32,16 @@
     controller(group).suspectPrimary(reason);
   }
 
+  /**
+   * Follows a claim that another proxy has sent directly, and stops using the primary.
+   *
+   * @return whether the primary was fenced
+   */
+  public boolean stopUsingPrimary(RecordedPrimary claim) {
+    dependencies.records().put(claim);
+    return controller(claim.record().group()).stopUsingPrimaryNow(claim);
+  }
+
   private GroupFailoverController controller(GroupId group) {
     return controllers.computeIfAbsent(group, this::start);
   }
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/LeaseRenewer.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/LeaseRenewer.java
@@ -1,41 +1,58 @@
 package org.mimosacleat.serving.promotion;
 
 import java.time.Duration;
-import java.util.function.IntConsumer;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
 import org.mimosacleat.core.time.Sleeper;
+import org.mimosacleat.serving.peer.FleetMember;
 import org.tinylog.Logger;
 
-/** Renews the lease of this proxy periodically and counts the proxies that hold a lease. */
+/** Renews the lease of this proxy periodically and lists the proxies that hold a lease. */
 public final class LeaseRenewer implements Runnable {
   private static final Duration RENEWAL_INTERVAL = Duration.ofSeconds(4);
   private static final Duration RETRY_INTERVAL = Duration.ofMillis(400);
   private static final Duration CHECK_INTERVAL = Duration.ofMillis(200);
+  private static final Duration MIN_LIST_INTERVAL = Duration.ofMillis(1_000);
 
-  /** Number of renewals after which the proxies are counted again. */
-  private static final int RENEWALS_PER_COUNT = 3;
+  /** Number of renewals after which the proxies are listed again. */
+  private static final int RENEWALS_PER_LIST = 3;
 
   private final ProxyLease lease;
-  private final IntConsumer proxyCountListener;
+  private final PrimaryAccess access;
+  private final Consumer<List<FleetMember>> membersListener;
   private final Sleeper sleeper;
+  private final AtomicBoolean listRequested = new AtomicBoolean();
   private boolean failing;
 
-  /** Creates a renewer; {@code proxyCountListener} receives the number of lease holders. */
-  public LeaseRenewer(ProxyLease lease, IntConsumer proxyCountListener, Sleeper sleeper) {
+  /** Creates a renewer; {@code membersListener} receives the other lease holders. */
+  public LeaseRenewer(
+      ProxyLease lease,
+      PrimaryAccess access,
+      Consumer<List<FleetMember>> membersListener,
+      Sleeper sleeper) {
     this.lease = lease;
-    this.proxyCountListener = proxyCountListener;
+    this.access = access;
+    this.membersListener = membersListener;
     this.sleeper = sleeper;
   }
 
+  /** Lists the proxies again soon, because an unknown one has appeared. */
+  public void requestList() {
+    listRequested.set(true);
+  }
+
   @Override
   public void run() {
     int renewals = 0;
     while (!Thread.currentThread().isInterrupted()) {
-      // Counts again after the first renewal: proxies that started with this one are listed then.
+      // Lists again after the first renewal: proxies that started with this one are listed then.
       boolean afterFirstRenewal = renewals == 1;
-      if (afterFirstRenewal || renewals % RENEWALS_PER_COUNT == 0) {
-        lease.refreshStoreTime().peek(proxyCountListener::accept);
+      if (afterFirstRenewal || renewals % RENEWALS_PER_LIST == 0) {
+        listProxies();
       }
-      boolean renewed = lease.renew().isRight();
+      boolean renewed = access.renew().isRight();
       logStatusChange(renewed);
       renewals += renewed ? 1 : 0;
       if (renewed) {
@@ -46,15 +63,32 @@
     }
   }
 
+  private void listProxies() {
+    listRequested.set(false);
+    lease.refreshStoreTime().peek(membersListener);
+  }
+
   /**
    * Waits for the next renewal. Returns early if the lease is lost, as after a suspension of the
-   * machine, so that it is renewed immediately.
+   * machine, or if access to further primaries is requested, so that it is renewed immediately.
    */
   private void waitForNextRenewal() {
     Duration waited = Duration.ZERO;
-    while (waited.compareTo(RENEWAL_INTERVAL) < 0 && lease.isHeld()) {
-      sleeper.sleep(CHECK_INTERVAL);
+    while (waited.compareTo(RENEWAL_INTERVAL) < 0 && lease.isHeld() && !isRequested()) {
       waited = waited.plus(CHECK_INTERVAL);
+      if (listRequested.get() && waited.compareTo(MIN_LIST_INTERVAL) >= 0) {
+        listProxies();
+      }
+    }
+  }
+
+  /** Returns whether access to primaries is requested within the check interval. */
+  private boolean isRequested() {
+    try {
+      return access.pendingRequests().tryAcquire(CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+    } catch (InterruptedException stopped) {
+      Thread.currentThread().interrupt();
+      return true;
     }
   }
 
--- /dev/null
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryAccess.java
@@ -0,0 +1,98 @@
+package org.mimosacleat.serving.promotion;
+
+import io.vavr.control.Either;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicReference;
+import org.mimosacleat.core.id.GroupId;
+import org.mimosacleat.serving.fleet.FleetState;
+import org.mimosacleat.serving.routing.GroupStates;
+
+/**
+ * The groups whose primaries this proxy may use. The lease record of this proxy names a group
+ * before this proxy uses its primary, and the records of all primaries are read after that. So a
+ * proxy that replaces a primary either finds this proxy among those to wait for, or this proxy
+ * finds the replacement.
+ */
+public final class PrimaryAccess {
+  private final ProxyLease lease;
+  private final SharedRecords shared;
+  private final PrimaryRecords records;
+  private final GroupStates groupStates;
+  private final FleetState fleet;
+  private final Set<GroupId> requested = ConcurrentHashMap.newKeySet();
+  private final Semaphore requests = new Semaphore(0);
+  private final AtomicReference<Granted> granted = new AtomicReference<>(new Granted(0, Set.of()));
+
+  /** Creates an instance without access to any primary. */
+  public PrimaryAccess(
+      ProxyLease lease,
+      SharedRecords shared,
+      PrimaryRecords records,
+      GroupStates groupStates,
+      FleetState fleet) {
+    this.lease = lease;
+    this.shared = shared;
+    this.records = records;
+    this.groupStates = groupStates;
+    this.fleet = fleet;
+  }
+
+  /** Returns whether this proxy may use the primary of a group now; requests access if not. */
+  public boolean isGranted(GroupId group) {
+    if (lease.isHeld() && isCurrent(group)) {
+      return true;
+    }
+    request(Set.of(group));
+    return false;
+  }
+
+  /** Requests access to the primaries of groups. */
+  public void request(Set<GroupId> groups) {
+    boolean added = requested.addAll(groups);
+    if (added || !groups.stream().allMatch(this::isCurrent)) {
+      requests.release();
+    }
+  }
+
+  /** Returns whether the lease record of this proxy may name a group. */
+  boolean mayBeRecorded(GroupId group) {
+    return requested.contains(group);
+  }
+
+  /** Returns the requests that wait for {@link #renew}. */
+  Semaphore pendingRequests() {
+    return requests;
+  }
+
+  /** Renews the lease for all requested groups; reads the records of primaries if necessary. */
+  public Either<RecordFailure, Long> renew() {
+    requests.drainPermits();
+    Set<GroupId> groups = new HashSet<>(requested);
+    Either<RecordFailure, Long> renewed = lease.renew(groups);
+    if (renewed.isLeft() || groups.stream().allMatch(this::isCurrent)) {
+      return renewed;
+    }
+    long period = lease.period();
+    return shared.readPrimaries().peek(read -> grant(period, groups, read)).flatMap(_ -> renewed);
+  }
+
+  private void grant(long period, Set<GroupId> groups, List<RecordedPrimary> read) {
+    for (RecordedPrimary recorded : read) {
+      recorded.applyTo(groupStates.of(recorded.record().group()));
+      records.put(recorded);
+    }
+    granted.set(new Granted(period, groups));
+    fleet.notifyWaiters();
+  }
+
+  private boolean isCurrent(GroupId group) {
+    Granted now = granted.get();
+    return now.period() == lease.period() && now.groups().contains(group);
+  }
+
+  private record Granted(long period, Set<GroupId> groups) {}
+}
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryReplacement.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryReplacement.java
@@ -7,11 +7,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Collectors;
 import org.mimosacleat.core.error.Failure;
 import org.mimosacleat.core.id.EndpointId;
 import org.mimosacleat.core.id.GroupId;
-import org.mimosacleat.core.id.VmId;
 import org.mimosacleat.core.position.Position;
 import org.mimosacleat.core.position.Term;
 import org.mimosacleat.serving.endpoint.EndpointPool;
@@ -52,11 +50,13 @@
   private RecordedPrimary claim;
   private Instant claimedAt = Instant.MIN;
   private boolean oldPrimaryUnused;
+  private final PrimaryUsers users;
 
   PrimaryReplacement(FailoverDependencies dependencies, RecordedPrimary recorded) {
     this.dependencies = dependencies;
     this.group = recorded.record().group();
     this.claim = recorded;
+    this.users = new PrimaryUsers(dependencies, group);
     this.statusPoller =
         new EndpointStatusPoller(dependencies.administration(), dependencies.executor());
   }
@@ -71,9 +71,10 @@
     if (!claim(planned)) {
       return false;
     }
-    dependencies.groupStates().of(group).pause(claim.record().term());
+    claim.applyTo(dependencies.groupStates().of(group));
     Instant deadline = dependencies.clock().instant().plus(REPLACEMENT_TIMEOUT);
     Optional<Position> fencedAt = stopOldPrimary(planned, deadline);
+    users.logRemaining();
     if (fencedAt.isEmpty() && !oldPrimaryUnused) {
       Logger.warn("{}: replacement cancelled: the old primary may still be in use", group);
       return false;
@@ -123,7 +124,7 @@
     }
     claim.record().primary().flatMap(dependencies.pools()::find).ifPresent(EndpointPool::closeAll);
     while (dependencies.clock().instant().isBefore(deadline) && ensureRecentClaim()) {
-      if (isOldPrimaryUnused()) {
+      if (users.haveStopped(claim)) {
         oldPrimaryUnused = true;
         return Optional.empty();
       }
@@ -141,30 +142,6 @@
         .flatMap(old -> dependencies.administration().fence(old, claim.record().term().next()));
   }
 
-  /**
-   * Returns whether another proxy has fenced the old primary, or every other proxy has stopped
-   * using it or has an expired lease.
-   */
-  private boolean isOldPrimaryUnused() {
-    Either<RecordFailure, List<StopRecord>> stops = dependencies.sharedRecords().readStops(group);
-    if (stops.isLeft()) {
-      return false;
-    }
-    List<StopRecord> stopsOfRound =
-        stops.get().stream().filter(stop -> stop.round() == claim.record().round()).toList();
-    return stopsOfRound.stream().anyMatch(StopRecord::fenced) || haveAllStopped(stopsOfRound);
-  }
-
-  private boolean haveAllStopped(List<StopRecord> stops) {
-    Set<VmId> stopped = stops.stream().map(StopRecord::proxy).collect(Collectors.toSet());
-    stopped.add(dependencies.self());
-    Either<RecordFailure, ProxyList> list = dependencies.sharedRecords().readProxies();
-    return list.isRight()
-        && list.get().proxies().stream()
-            .filter(proxy -> !stopped.contains(proxy.proxy()))
-            .allMatch(proxy -> ProxyLease.hasExpired(proxy, list.get().storeMillis()));
-  }
-
   private boolean promote(Position requiredPosition, Instant deadline) {
     Instant catchUpEnd = dependencies.clock().instant().plus(CATCH_UP_TIMEOUT);
     while (dependencies.clock().instant().isBefore(deadline)) {
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/ProxyLease.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/ProxyLease.java
@@ -4,8 +4,11 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.List;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
-import org.mimosacleat.core.id.VmId;
+import org.mimosacleat.core.id.GroupId;
+import org.mimosacleat.serving.peer.FleetMember;
 import org.tinylog.Logger;
 
 /**
@@ -23,12 +26,12 @@
 
   private static final Duration MAX_CLOCK_DRIFT = Duration.ofMillis(700);
 
-  private final VmId self;
+  private final FleetMember self;
   private final SharedRecords records;
   private final InstantSource clock;
   private final InstantSource wallClock;
   private final AtomicReference<Renewal> renewal =
-      new AtomicReference<>(new Renewal(Instant.MIN, Duration.ZERO));
+      new AtomicReference<>(new Renewal(Instant.MIN, Duration.ZERO, 0));
   private final AtomicReference<StoreTime> storeTime = new AtomicReference<>();
 
   /**
@@ -38,7 +41,7 @@
    * @param wallClock a clock that continues to run while the machine is suspended
    */
   public ProxyLease(
-      VmId self, SharedRecords records, InstantSource clock, InstantSource wallClock) {
+      FleetMember self, SharedRecords records, InstantSource clock, InstantSource wallClock) {
     this.self = self;
     this.records = records;
     this.clock = clock;
@@ -47,39 +50,54 @@
 
   /** Returns whether this proxy may use primaries now. */
   public boolean isHeld() {
-    Renewal last = renewal.get();
+    return isValid(renewal.get());
+  }
+
+  /**
+   * Returns the number of the present period in which the lease was held without interruption. What
+   * was read from the store in an earlier period may have changed since.
+   */
+  public long period() {
+    return renewal.get().period();
+  }
+
+  private boolean isValid(Renewal last) {
     return clock.instant().isBefore(last.expiresAt()) && !hasDrifted(last.drift());
   }
 
-  /** Reads the store's time and returns the number of lease holders, this proxy included. */
-  public Either<RecordFailure, Integer> refreshStoreTime() {
+  /** Reads the store's time and returns the other proxies that hold a lease. */
+  public Either<RecordFailure, List<FleetMember>> refreshStoreTime() {
     Instant sentAt = clock.instant();
     Duration drift = drift();
     return records
         .readProxies()
         .peek(list -> storeTime.set(new StoreTime(list.storeMillis(), sentAt, drift)))
-        .map(this::countHolders);
+        .map(this::otherHolders);
   }
 
-  /** Renews the lease; reads the store's time first if unknown or outdated by a suspension. */
-  public Either<RecordFailure, Long> renew() {
+  /**
+   * Renews the lease; reads the store's time first if unknown or outdated by a suspension.
+   *
+   * @param groups the groups whose primaries this proxy may use
+   */
+  public Either<RecordFailure, Long> renew(Set<GroupId> groups) {
     StoreTime time = storeTime.get();
     if (time == null || hasDrifted(time.drift())) {
-      return refreshStoreTime().flatMap(_ -> renewAt(storeTime.get()));
+      return refreshStoreTime().flatMap(_ -> renewAt(storeTime.get(), groups));
     }
-    return renewAt(time);
+    return renewAt(time, groups);
   }
 
   /** Releases the lease and removes its record from the store. */
   public void release() {
-    renewal.set(new Renewal(Instant.MIN, Duration.ZERO));
+    renewal.set(new Renewal(Instant.MIN, Duration.ZERO, period()));
     records
-        .removeProxy(self)
+        .removeProxy(self.vm())
         .peekLeft(
             failure ->
                 Logger.warn(
                     "could not remove the lease record of {}: {}; others wait until it expires",
-                    self,
+                    self.vm(),
                     failure));
   }
 
@@ -88,20 +106,26 @@
     return storeMillis - proxy.renewedAtMillis() > DURATION.plus(EXPIRY_MARGIN).toMillis();
   }
 
-  private Either<RecordFailure, Long> renewAt(StoreTime time) {
+  private Either<RecordFailure, Long> renewAt(StoreTime time, Set<GroupId> groups) {
     Duration drift = drift();
     Instant sentAt = clock.instant();
     return records
-        .renewProxy(new ProxyRecord(self, time.latestAt(sentAt)))
-        .peek(_ -> renewal.set(new Renewal(sentAt.plus(DURATION), drift)));
+        .renewProxy(new ProxyRecord(self, groups, time.latestAt(sentAt)))
+        .peek(_ -> extend(sentAt, drift));
+  }
+
+  private void extend(Instant sentAt, Duration drift) {
+    Renewal last = renewal.get();
+    long period = isValid(last) ? last.period() : last.period() + 1;
+    renewal.set(new Renewal(sentAt.plus(DURATION), drift, period));
   }
 
-  private int countHolders(ProxyList list) {
-    long others =
-        list.proxies().stream()
-            .filter(proxy -> !proxy.proxy().equals(self) && !hasExpired(proxy, list.storeMillis()))
-            .count();
-    return (int) others + 1;
+  private List<FleetMember> otherHolders(ProxyList list) {
+    return list.proxies().stream()
+        .filter(proxy -> !proxy.proxy().equals(self.vm()))
+        .filter(proxy -> !hasExpired(proxy, list.storeMillis()))
+        .flatMap(proxy -> proxy.member().stream())
+        .toList();
   }
 
   private Duration drift() {
@@ -112,7 +136,7 @@
     return drift().minus(before).compareTo(MAX_CLOCK_DRIFT) > 0;
   }
 
-  private record Renewal(Instant expiresAt, Duration drift) {}
+  private record Renewal(Instant expiresAt, Duration drift, long period) {}
 
   /**
    * The store's time {@code millis}, read by a request that was sent at {@code sentAt}. The store
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/SharedRecords.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/SharedRecords.java
@@ -16,6 +16,9 @@
    */
   Either<RecordFailure, Long> writePrimary(PrimaryRecord record, long expectedVersion);
 
+  /** Reads the records of all groups. */
+  Either<RecordFailure, List<RecordedPrimary>> readPrimaries();
+
   /** Records that this proxy has stopped using a primary. */
   Either<RecordFailure, Long> writeStop(StopRecord stop);
 
--- /dev/null
+++ b/serving/src/main/java/org/mimosacleat/serving/relay/RelayContext.java
@@ -0,0 +1,26 @@
+package org.mimosacleat.serving.relay;
+
+import java.time.Duration;
+import java.util.Map;
+import org.mimosacleat.core.check.Checks;
+import org.mimosacleat.core.position.Position;
+import org.mimosacleat.serving.fleet.Route;
+
+/**
+ * What a gateway must know of the session and the route of a statement.
+ *
+ * @param route the route by the configuration of the proxy that the client is connected to
+ * @param values the session's values
+ * @param lastWrite the position of the session's last write to the group
+ * @param elapsed time since the statement arrived from the client
+ */
+public record RelayContext(
+    Route route, Map<String, String> values, Position lastWrite, Duration elapsed) {
+  /** Copies the values. */
+  public RelayContext {
+    Checks.notNull("route", route);
+    Checks.notNull("position of the last write", lastWrite);
+    Checks.notNegative("elapsed time in milliseconds", elapsed.toMillis());
+    values = Map.copyOf(values);
+  }
+}
--- /dev/null
+++ b/serving/src/main/java/org/mimosacleat/serving/relay/RelayRequest.java
@@ -0,0 +1,45 @@
+package org.mimosacleat.serving.relay;
+
+import org.mimosacleat.serving.statement.ForwardedStatement;
+
+/** A request to a gateway. Transactions are numbered by the sender. */
+public sealed interface RelayRequest {
+  /**
+   * Runs a statement outside a transaction.
+   *
+   * @param context the session and the route
+   * @param statement the statement
+   */
+  record RunStatement(RelayContext context, ForwardedStatement statement) implements RelayRequest {}
+
+  /**
+   * Runs a statement in a transaction, which begins with its first statement.
+   *
+   * @param transaction the number of the transaction
+   * @param readOnly whether the client declared that it writes nothing
+   * @param context the session and the route
+   * @param statement the statement
+   */
+  record RunInTransaction(
+      long transaction, boolean readOnly, RelayContext context, ForwardedStatement statement)
+      implements RelayRequest {}
+
+  /**
+   * Commits a transaction.
+   *
+   * @param transaction the number of the transaction
+   * @param readOnly whether the client declared that it writes nothing
+   * @param context the session and the route
+   * @param statement the client's statement
+   */
+  record Commit(
+      long transaction, boolean readOnly, RelayContext context, ForwardedStatement statement)
+      implements RelayRequest {}
+
+  /**
+   * Rolls a transaction back; without effect if it is not open.
+   *
+   * @param transaction the number of the transaction
+   */
+  record RollBack(long transaction) implements RelayRequest {}
+}
--- a/serving/src/main/java/org/mimosacleat/serving/routing/GroupState.java
+++ b/serving/src/main/java/org/mimosacleat/serving/routing/GroupState.java
@@ -10,9 +10,12 @@
 
 /** What this proxy knows of one group's primary and of the positions of its log. */
 public final class GroupState {
+  private static final long NO_RECORD = 0;
+
   private final AtomicReference<Snapshot> state =
       new AtomicReference<>(
-          new Snapshot(Optional.empty(), new Term(0), false, PrimaryPositionHistory.empty()));
+          new Snapshot(
+              Optional.empty(), new Term(0), false, NO_RECORD, PrimaryPositionHistory.empty()));
 
   /** Returns the endpoint that may be used as primary now. */
   public Optional<EndpointId> primary() {
@@ -40,6 +43,18 @@
     state.updateAndGet(old -> old.withPrimary(primary, term));
   }
 
+  /**
+   * Follows the shared record of the group. A record that is older than one followed before is
+   * ignored, so that it can't end a pause.
+   *
+   * @param replacing whether the primary is being replaced and must not be used
+   * @param version the version of the record
+   */
+  public void followRecord(
+      Optional<EndpointId> primary, Term term, boolean replacing, long version) {
+    state.updateAndGet(old -> old.withRecord(primary, term, replacing, version));
+  }
+
   /** Stops the use of the primary of this term until a primary of this or a later term is set. */
   public void pause(Term term) {
     state.updateAndGet(old -> old.term().isAfter(term) ? old : old.withPaused(true));
@@ -60,26 +75,48 @@
   }
 
   private record Snapshot(
-      Optional<EndpointId> primary, Term term, boolean paused, PrimaryPositionHistory history) {
+      Optional<EndpointId> primary,
+      Term term,
+      boolean paused,
+      long recordVersion,
+      PrimaryPositionHistory history) {
+    Snapshot withRecord(
+        Optional<EndpointId> recorded, Term recordedTerm, boolean replacing, long version) {
+      if (version < recordVersion) {
+        return this;
+      }
+      Snapshot known = new Snapshot(primary, term, paused, version, history);
+      if (replacing) {
+        return term.isAfter(recordedTerm) ? known : known.withPaused(true);
+      }
+      return recorded.map(endpoint -> known.withPrimary(endpoint, recordedTerm)).orElse(known);
+    }
+
     Snapshot withPrimary(EndpointId newPrimary, Term newTerm) {
       if (term.isAfter(newTerm)) {
         return this;
       }
       boolean same = term.equals(newTerm) && primary.equals(Optional.of(newPrimary));
       return same
-          ? new Snapshot(primary, term, false, history)
-          : new Snapshot(Optional.of(newPrimary), newTerm, false, PrimaryPositionHistory.empty());
+          ? new Snapshot(primary, term, false, recordVersion, history)
+          : new Snapshot(
+              Optional.of(newPrimary),
+              newTerm,
+              false,
+              recordVersion,
+              PrimaryPositionHistory.empty());
     }
 
     Snapshot withPaused(boolean nowPaused) {
-      return new Snapshot(primary, term, nowPaused, history);
+      return new Snapshot(primary, term, nowPaused, recordVersion, history);
     }
 
     Snapshot withPosition(EndpointId endpoint, Instant askedAt, Position position) {
       if (!primary.equals(Optional.of(endpoint)) || term.isAfter(position.term())) {
         return this;
       }
-      return new Snapshot(primary, position.term(), paused, history.with(askedAt, position));
+      return new Snapshot(
+          primary, position.term(), paused, recordVersion, history.with(askedAt, position));
     }
   }
 }
--- a/serving/src/main/java/org/mimosacleat/serving/routing/TargetChooser.java
+++ b/serving/src/main/java/org/mimosacleat/serving/routing/TargetChooser.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.mimosacleat.core.id.EndpointId;
 import org.mimosacleat.core.id.GroupId;
@@ -39,24 +39,24 @@
   private final FleetState fleet;
   private final EndpointPools pools;
   private final GroupStates groupStates;
-  private final BooleanSupplier canUsePrimaries;
+  private final Predicate<GroupId> canUsePrimary;
   private final RandomGenerator random;
 
   /**
    * Creates a chooser.
    *
-   * @param canUsePrimaries whether this proxy may still rely on its knowledge of the primaries
+   * @param canUsePrimary whether this proxy may rely on its knowledge of a group's primary
    */
   public TargetChooser(
       FleetState fleet,
       EndpointPools pools,
       GroupStates groupStates,
-      BooleanSupplier canUsePrimaries,
+      Predicate<GroupId> canUsePrimary,
       RandomGenerator random) {
     this.fleet = fleet;
     this.pools = pools;
     this.groupStates = groupStates;
-    this.canUsePrimaries = canUsePrimaries;
+    this.canUsePrimary = canUsePrimary;
     this.random = random;
   }
 
@@ -65,7 +65,7 @@
     return groupStates
         .of(group)
         .primary()
-        .filter(_ -> canUsePrimaries.getAsBoolean())
+        .filter(_ -> canUsePrimary.test(group))
         .flatMap(pools::find)
         .<Target>map(Target.Primary::new)
         .orElseGet(Target.None::new);
@@ -118,7 +118,7 @@
             .filter(entry -> !entry.draining() && !avoided.contains(entry.id()))
             .map(EndpointEntry::id)
             .flatMap(id -> pools.find(id).stream())
-            .filter(pool -> !pool.health().isSuspect())
+            .filter(pool -> !pool.health().isSuspect() && !pool.refusesConnections())
             .filter(pool -> isPrimary(state, pool) || !pool.health().lacks(needed))
             .toList();
     EndpointPool best = null;
--- a/serving/src/main/java/org/mimosacleat/serving/session/AutocommitStatements.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/AutocommitStatements.java
@@ -15,6 +15,7 @@
 import org.mimosacleat.serving.fleet.Route;
 import org.mimosacleat.serving.routing.Target;
 import org.mimosacleat.serving.statement.Answer;
+import org.mimosacleat.serving.statement.ForwardedStatement;
 
 /** Runs statements outside a transaction. */
 final class AutocommitStatements {
@@ -27,8 +28,7 @@
   }
 
   /** Runs one statement while no transaction is open, and returns its answer. */
-  Answer run(ForwardedStatement statement, Route route) {
-    Instant arrivedAt = dependencies.clock().instant();
+  Answer run(ForwardedStatement statement, Route route, Instant arrivedAt) {
     Instant deadline = arrivedAt.plus(route.statementTimeout());
     Attempt attempt = new Attempt(dependencies, session, route);
     if (statement.writes()) {
--- a/serving/src/main/java/org/mimosacleat/serving/session/OpenTransaction.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/OpenTransaction.java
@@ -18,12 +18,13 @@
 import org.mimosacleat.serving.fleet.Route;
 import org.mimosacleat.serving.routing.Target;
 import org.mimosacleat.serving.statement.Answer;
+import org.mimosacleat.serving.statement.ForwardedStatement;
 
 /**
  * The open transaction of a session. It begins on an endpoint with its first statement, so that a
  * client that is idle after BEGIN holds no connection, and keeps that connection until its end.
  */
-final class OpenTransaction {
+final class OpenTransaction implements ClientTransaction {
   private static final Duration ROLLBACK_TIMEOUT = Duration.ofMillis(500);
 
   private final SessionDependencies dependencies;
@@ -45,12 +46,13 @@
     this.attempt = new Attempt(dependencies, session, route);
   }
 
-  TransactionStatus status() {
+  @Override
+  public TransactionStatus status() {
     return failed ? TransactionStatus.FAILED : TransactionStatus.IN_TRANSACTION;
   }
 
-  /** Runs a statement of the transaction. */
-  Answer run(ForwardedStatement statement) {
+  @Override
+  public Answer run(ForwardedStatement statement) {
     if (failed) {
       return refuse(ErrorKind.PROTOCOL_VIOLATION, "the transaction has failed; roll it back");
     }
@@ -66,8 +68,8 @@
     return answer.withStatus(TransactionStatus.IN_TRANSACTION);
   }
 
-  /** Commits; the transaction is over whatever the answer is. */
-  Answer commit(ForwardedStatement statement) {
+  @Override
+  public Answer commit(ForwardedStatement statement) {
     if (failed) {
       rollback();
       return Answer.failed(
@@ -84,14 +86,14 @@
     return answer.withStatus(TransactionStatus.IDLE);
   }
 
-  /** Rolls back; the transaction stays open as failed until the client ends it. */
-  void abort() {
+  @Override
+  public void abort() {
     failed = true;
     rollback();
   }
 
-  /** Rolls back; the transaction is over. */
-  void rollback() {
+  @Override
+  public void rollback() {
     if (connection == null) {
       return;
     }
--- a/serving/src/main/java/org/mimosacleat/serving/session/RetryLoop.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/RetryLoop.java
@@ -62,7 +62,7 @@
       Instant arrivedAt,
       Function<Set<EndpointId>, Target> choose,
       Function<Target, AttemptOutcome> attempt) {
-    Instant waitLimit = arrivedAt.plus(scaled(route.statementTimeout(), MAX_WAIT_FRACTION));
+    Instant waitLimit = waitLimit(route, arrivedAt);
     Set<EndpointId> avoided = new HashSet<>();
     Failure latest = noPrimary(route);
     for (int number = 0; number < MAX_ATTEMPTS; number++) {
@@ -93,6 +93,11 @@
     return refused(latest);
   }
 
+  /** Returns until when a statement that has not run may wait for another attempt. */
+  static Instant waitLimit(Route route, Instant arrivedAt) {
+    return arrivedAt.plus(scaled(route.statementTimeout(), MAX_WAIT_FRACTION));
+  }
+
   private static Answer refused(Failure failure) {
     return Answer.failed(failure, TransactionStatus.IDLE);
   }
--- /dev/null
+++ b/serving/src/main/java/org/mimosacleat/serving/session/RoutedStatements.java
@@ -0,0 +1,60 @@
+package org.mimosacleat.serving.session;
+
+import java.time.Instant;
+import org.mimosacleat.core.connection.TransactionStatus;
+import org.mimosacleat.core.error.ErrorKind;
+import org.mimosacleat.core.error.Failure;
+import org.mimosacleat.serving.fleet.Route;
+import org.mimosacleat.serving.relay.Gateway;
+import org.mimosacleat.serving.relay.RelayReply;
+import org.mimosacleat.serving.relay.RelayRequest;
+import org.mimosacleat.serving.relay.RelayResult;
+import org.mimosacleat.serving.statement.Answer;
+import org.mimosacleat.serving.statement.ForwardedStatement;
+
+/**
+ * Runs statements outside a transaction: on a gateway of the group, or on this proxy's own
+ * connections if it is a gateway itself or no gateway has taken the statement.
+ */
+final class RoutedStatements {
+  private final SessionDependencies dependencies;
+  private final SessionState session;
+  private final AutocommitStatements own;
+
+  RoutedStatements(SessionDependencies dependencies, SessionState session) {
+    this.dependencies = dependencies;
+    this.session = session;
+    this.own = new AutocommitStatements(dependencies, session);
+  }
+
+  /** Runs one statement and returns its answer. */
+  Answer run(ForwardedStatement statement, Route route) {
+    Instant arrivedAt = dependencies.clock().instant();
+    RelayTimes times = new RelayTimes(dependencies.clock(), route, arrivedAt);
+    for (Gateway gateway : dependencies.relay().gatewaysOf(route.group())) {
+      RelayRequest request = new RelayRequest.RunStatement(times.context(session), statement);
+      switch (gateway.execute(request, times.replyDeadline())) {
+        case RelayResult.Replied(RelayReply reply) -> {
+          session.recordWrite(route.group(), reply.lastWrite());
+          return reply.answer();
+        }
+        case RelayResult.NotRun _ -> {
+          // The next gateway is tried.
+        }
+        case RelayResult.Unknown(String reason) -> {
+          if (statement.writes()) {
+            return failed(ErrorKind.CONNECTION_LOST, reason);
+          }
+        }
+      }
+      if (times.isTooLateForAnother()) {
+        return failed(ErrorKind.UNAVAILABLE, "no gateway of " + route.group() + " replied in time");
+      }
+    }
+    return own.run(statement, route, arrivedAt);
+  }
+
+  private static Answer failed(ErrorKind kind, String detail) {
+    return Answer.failed(new Failure(kind, detail), TransactionStatus.IDLE);
+  }
+}
--- /dev/null
+++ b/serving/src/main/java/org/mimosacleat/serving/session/RoutedTransaction.java
@@ -0,0 +1,164 @@
+package org.mimosacleat.serving.session;
+
+import java.util.Optional;
+import org.mimosacleat.core.connection.TransactionStatus;
+import org.mimosacleat.core.error.ErrorKind;
+import org.mimosacleat.core.error.Failure;
+import org.mimosacleat.serving.fleet.Route;
+import org.mimosacleat.serving.relay.Gateway;
+import org.mimosacleat.serving.relay.RelayReply;
+import org.mimosacleat.serving.relay.RelayRequest;
+import org.mimosacleat.serving.relay.RelayResult;
+import org.mimosacleat.serving.statement.Answer;
+import org.mimosacleat.serving.statement.ForwardedStatement;
+
+/**
+ * The open transaction of a client. Its first statement decides where it runs until its end: on a
+ * gateway of the group, or on this proxy's own connections.
+ */
+final class RoutedTransaction implements ClientTransaction {
+  private final SessionDependencies dependencies;
+  private final SessionState session;
+  private final Route route;
+  private final boolean readOnly;
+  private final long number;
+  private Gateway gateway;
+  private OpenTransaction own;
+  private boolean wrote;
+  private boolean failed;
+
+  RoutedTransaction(
+      SessionDependencies dependencies, SessionState session, Route route, boolean readOnly) {
+    this.dependencies = dependencies;
+    this.session = session;
+    this.route = route;
+    this.readOnly = readOnly;
+    this.number = dependencies.transactionNumbers().incrementAndGet();
+  }
+
+  @Override
+  public TransactionStatus status() {
+    if (own != null) {
+      return own.status();
+    }
+    return failed ? TransactionStatus.FAILED : TransactionStatus.IN_TRANSACTION;
+  }
+
+  @Override
+  public Answer run(ForwardedStatement statement) {
+    if (failed) {
+      return refuse(ErrorKind.PROTOCOL_VIOLATION, "the transaction has failed; roll it back");
+    }
+    Answer answer = own != null ? own.run(statement) : runRelayed(statement);
+    failed = !answer.isDone();
+    wrote = wrote || statement.writes();
+    return answer;
+  }
+
+  private Answer runRelayed(ForwardedStatement statement) {
+    RelayTimes times = newTimes();
+    if (gateway == null) {
+      return begin(statement, times)
+          .orElseGet(
+              () -> {
+                own = new OpenTransaction(dependencies, session, route, readOnly);
+                return own.run(statement);
+              });
+    }
+    RelayRequest request =
+        new RelayRequest.RunInTransaction(number, readOnly, times.context(session), statement);
+    return switch (gateway.execute(request, times.replyDeadline())) {
+      case RelayResult.Replied(RelayReply reply) -> reply.answer();
+      case RelayResult.NotRun(String reason) -> lose(reason);
+      case RelayResult.Unknown(String reason) -> lose(reason);
+    };
+  }
+
+  /** Begins on the first gateway that takes the statement; empty if none has. */
+  private Optional<Answer> begin(ForwardedStatement statement, RelayTimes times) {
+    for (Gateway candidate : dependencies.relay().gatewaysOf(route.group())) {
+      RelayRequest request =
+          new RelayRequest.RunInTransaction(number, readOnly, times.context(session), statement);
+      switch (candidate.execute(request, times.replyDeadline())) {
+        case RelayResult.Replied(RelayReply reply) -> {
+          gateway = candidate;
+          return Optional.of(reply.answer());
+        }
+        case RelayResult.NotRun _ -> {
+          // The next gateway is tried.
+        }
+        case RelayResult.Unknown _ -> candidate.send(new RelayRequest.RollBack(number));
+      }
+      if (times.isTooLateForAnother()) {
+        String detail = "no gateway of " + route.group() + " replied in time";
+        return Optional.of(refuse(ErrorKind.TRANSACTION_LOST, detail));
+      }
+    }
+    return Optional.empty();
+  }
+
+  @Override
+  public Answer commit(ForwardedStatement statement) {
+    if (gateway == null && own == null) {
+      own = new OpenTransaction(dependencies, session, route, readOnly);
+    }
+    if (own != null) {
+      return own.commit(statement);
+    }
+    RelayTimes times = newTimes();
+    RelayRequest request =
+        new RelayRequest.Commit(number, readOnly, times.context(session), statement);
+    return switch (gateway.execute(request, times.replyDeadline())) {
+      case RelayResult.Replied(RelayReply reply) -> {
+        session.recordWrite(route.group(), reply.lastWrite());
+        yield reply.answer().withStatus(TransactionStatus.IDLE);
+      }
+      case RelayResult.NotRun(String reason) -> lose(reason).withStatus(TransactionStatus.IDLE);
+      case RelayResult.Unknown(String reason) -> uncertain(reason);
+    };
+  }
+
+  /** A commit without a reply is uncertain, unless there was nothing to commit. */
+  private Answer uncertain(String reason) {
+    ErrorKind kind = wrote && !failed ? ErrorKind.CONNECTION_LOST : ErrorKind.TRANSACTION_LOST;
+    return Answer.failed(new Failure(kind, reason), TransactionStatus.IDLE);
+  }
+
+  @Override
+  public void abort() {
+    if (own != null) {
+      own.abort();
+    }
+    rollBackRelayed();
+    failed = true;
+  }
+
+  @Override
+  public void rollback() {
+    if (own != null) {
+      own.rollback();
+    }
+    rollBackRelayed();
+  }
+
+  private void rollBackRelayed() {
+    if (gateway != null) {
+      gateway.send(new RelayRequest.RollBack(number));
+    }
+  }
+
+  /** Ends the transaction after its gateway was lost: nothing was committed. */
+  private Answer lose(String reason) {
+    rollBackRelayed();
+    return refuse(ErrorKind.TRANSACTION_LOST, reason);
+  }
+
+  private Answer refuse(ErrorKind kind, String detail) {
+    failed = true;
+    return Answer.failed(new Failure(kind, detail), TransactionStatus.FAILED);
+  }
+
+  private RelayTimes newTimes() {
+    return new RelayTimes(dependencies.clock(), route, dependencies.clock().instant());
+  }
+}
--- a/serving/src/main/java/org/mimosacleat/serving/session/Session.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/Session.java
@@ -10,6 +10,7 @@
 import org.mimosacleat.serving.fleet.Route;
 import org.mimosacleat.serving.statement.Answer;
 import org.mimosacleat.serving.statement.ClientStatement;
+import org.mimosacleat.serving.statement.ForwardedStatement;
 import org.mimosacleat.serving.statement.PreparedShape;
 import org.mimosacleat.serving.statement.StatementBody;
 
@@ -21,13 +22,13 @@
   private final SessionDependencies dependencies;
   private final DatabaseName database;
   private final SessionState state = new SessionState();
-  private final AutocommitStatements autocommitStatements;
-  private OpenTransaction transaction;
+  private final RoutedStatements statements;
+  private ClientTransaction transaction;
 
   Session(SessionDependencies dependencies, DatabaseName database) {
     this.dependencies = dependencies;
     this.database = database;
-    this.autocommitStatements = new AutocommitStatements(dependencies, state);
+    this.statements = new RoutedStatements(dependencies, state);
   }
 
   /** Returns the transaction status that the client last received. */
@@ -50,10 +51,8 @@
       case StatementBody.Begin(boolean readOnly) -> begin(readOnly);
       case StatementBody.Commit commit -> commit(statement);
       case StatementBody.Rollback rollback -> rollback();
-      case StatementBody.Read read ->
-          forward(new ForwardedStatement(statement, false, Optional.empty()));
-      case StatementBody.Write write ->
-          forward(new ForwardedStatement(statement, true, Optional.empty()));
+      case StatementBody.Read read -> forward(ForwardedStatement.plain(statement, false));
+      case StatementBody.Write write -> forward(ForwardedStatement.plain(statement, true));
       case StatementBody.SetValue(String name, String value) ->
           answerLocally(
               state.setValue(name, value),
@@ -62,7 +61,8 @@
           answerLocally(
               state.prepare(name, shape),
               "a session can prepare at most " + SessionState.MAX_NAMES + " statements");
-      case StatementBody.Execute(String name, String arguments) -> executePrepared(statement, name);
+      case StatementBody.Execute(String name, String arguments) ->
+          executePrepared(statement, name, arguments);
       case StatementBody.Deallocate(String name) -> deallocate(name);
       case StatementBody.Malformed(String reason) -> fail(ErrorKind.PROTOCOL_VIOLATION, reason);
     };
@@ -95,7 +95,7 @@
     if (route.isEmpty()) {
       return unknownDatabase();
     }
-    transaction = new OpenTransaction(dependencies, state, route.get(), readOnly);
+    transaction = new RoutedTransaction(dependencies, state, route.get(), readOnly);
     return Answer.done(TransactionStatus.IN_TRANSACTION);
   }
 
@@ -103,7 +103,7 @@
     if (transaction == null) {
       return fail(ErrorKind.PROTOCOL_VIOLATION, "no transaction is open");
     }
-    Answer answer = transaction.commit(new ForwardedStatement(statement, false, Optional.empty()));
+    Answer answer = transaction.commit(ForwardedStatement.plain(statement, false));
     transaction = null;
     return answer;
   }
@@ -117,11 +117,10 @@
     return Answer.done(TransactionStatus.IDLE);
   }
 
-  private Answer executePrepared(ClientStatement statement, String name) {
+  private Answer executePrepared(ClientStatement statement, String name, String arguments) {
     return state
         .shape(name)
-        .map(
-            shape -> forward(new ForwardedStatement(statement, shape.writes(), Optional.of(shape))))
+        .map(shape -> forward(ForwardedStatement.prepared(statement, shape, arguments)))
         .orElseGet(() -> unknownStatement(name));
   }
 
@@ -133,9 +132,7 @@
     if (transaction != null) {
       return transaction.run(statement);
     }
-    return route()
-        .map(route -> autocommitStatements.run(statement, route))
-        .orElseGet(this::unknownDatabase);
+    return route().map(route -> statements.run(statement, route)).orElseGet(this::unknownDatabase);
   }
 
   private Optional<Route> route() {
--- a/serving/src/main/java/org/mimosacleat/serving/session/SessionDependencies.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/SessionDependencies.java
@@ -1,7 +1,9 @@
 package org.mimosacleat.serving.session;
 
 import java.time.InstantSource;
+import java.util.concurrent.atomic.AtomicLong;
 import org.mimosacleat.serving.fleet.FleetState;
+import org.mimosacleat.serving.relay.Relay;
 import org.mimosacleat.serving.routing.GroupStates;
 import org.mimosacleat.serving.routing.PrimarySuspicionListener;
 import org.mimosacleat.serving.routing.TargetChooser;
@@ -14,7 +16,9 @@
  * @param chooser chooses endpoints
  * @param retryLoop retries attempts
  * @param suspicionListener receives reports of primaries that do not answer as primary
+ * @param relay the gateways that run statements for this proxy
  * @param failureLog logs statements that failed
+ * @param transactionNumbers numbers the transactions of this proxy
  * @param clock the clock for all deadlines
  */
 record SessionDependencies(
@@ -23,5 +27,7 @@
     TargetChooser chooser,
     RetryLoop retryLoop,
     PrimarySuspicionListener suspicionListener,
+    Relay relay,
     FailureLog failureLog,
+    AtomicLong transactionNumbers,
     InstantSource clock) {}
--- a/serving/src/main/java/org/mimosacleat/serving/session/SessionState.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/SessionState.java
@@ -16,6 +16,12 @@
   private final Map<String, PreparedShape> preparedStatements = new HashMap<>();
   private final Map<GroupId, Position> lastWrites = new HashMap<>();
 
+  /** Takes over the values of a session on another proxy. */
+  void replaceValues(Map<String, String> others) {
+    values.clear();
+    values.putAll(others);
+  }
+
   Map<String, String> values() {
     return values;
   }
--- a/serving/src/main/java/org/mimosacleat/serving/session/Sessions.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/Sessions.java
@@ -5,6 +5,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.random.RandomGenerator;
 import org.mimosacleat.core.error.ErrorKind;
 import org.mimosacleat.core.error.Failure;
@@ -12,6 +13,7 @@
 import org.mimosacleat.serving.fleet.Configuration;
 import org.mimosacleat.serving.fleet.DatabaseName;
 import org.mimosacleat.serving.fleet.FleetState;
+import org.mimosacleat.serving.relay.Relay;
 import org.mimosacleat.serving.routing.GroupStates;
 import org.mimosacleat.serving.routing.PrimarySuspicionListener;
 import org.mimosacleat.serving.routing.TargetChooser;
@@ -32,6 +34,7 @@
       GroupStates groupStates,
       TargetChooser chooser,
       PrimarySuspicionListener suspicionListener,
+      Relay relay,
       InstantSource clock,
       RandomGenerator random,
       Sleeper sleeper) {
@@ -43,7 +46,9 @@
             chooser,
             new RetryLoop(fleet, clock, random, sleeper),
             suspicionListener,
+            relay,
             new FailureLog(clock),
+            new AtomicLong(),
             clock);
   }
 
@@ -59,6 +64,11 @@
     return Either.right(new Session(dependencies, database));
   }
 
+  /** Starts to run statements that arrive over one connection from another proxy. */
+  public RelayedStatements openRelayed() {
+    return new RelayedStatements(dependencies);
+  }
+
   /** Returns how long a transaction may be idle between two statements. */
   public Duration transactionIdleLimit() {
     return dependencies
--- /dev/null
+++ b/serving/src/test/java/org/mimosacleat/serving/peer/RelayCodecTest.java
@@ -0,0 +1,121 @@
+package org.mimosacleat.serving.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.mimosacleat.core.connection.TransactionStatus;
+import org.mimosacleat.core.error.ErrorKind;
+import org.mimosacleat.core.error.Failure;
+import org.mimosacleat.core.id.EndpointId;
+import org.mimosacleat.core.id.GroupId;
+import org.mimosacleat.core.id.VmId;
+import org.mimosacleat.core.position.LogPosition;
+import org.mimosacleat.core.position.Position;
+import org.mimosacleat.core.position.Term;
+import org.mimosacleat.serving.feed.FeedPage;
+import org.mimosacleat.serving.fleet.DatabaseName;
+import org.mimosacleat.serving.fleet.ReadConsistency;
+import org.mimosacleat.serving.fleet.Route;
+import org.mimosacleat.serving.promotion.PrimaryRecord;
+import org.mimosacleat.serving.promotion.RecordedPrimary;
+import org.mimosacleat.serving.promotion.Replacement;
+import org.mimosacleat.serving.relay.RelayContext;
+import org.mimosacleat.serving.relay.RelayReply;
+import org.mimosacleat.serving.relay.RelayRequest;
+import org.mimosacleat.serving.statement.Answer;
+import org.mimosacleat.serving.statement.ForwardedStatement;
+import org.mimosacleat.serving.statement.PreparedShape;
+import org.mimosacleat.serving.statement.StatementId;
+import org.mimosacleat.wire.peer.PeerProtocolException;
+
+class RelayCodecTest {
+  private static final Position POSITION = new Position(new Term(3), new LogPosition(1207));
+
+  @Test
+  void everyFrameIsDecodedAsItWasEncoded() throws IOException {
+    ForwardedStatement plain =
+        new ForwardedStatement(new StatementId("5c0e"), "WRITE a 1", true, Optional.empty(), "");
+    ForwardedStatement prepared =
+        new ForwardedStatement(
+            new StatementId("5c0f"),
+            "EXEC s1 a",
+            false,
+            Optional.of(new PreparedShape(false, "q2c")),
+            "a");
+    for (PeerFrame frame :
+        List.of(
+            new PeerFrame.Ping(),
+            new PeerFrame.Pong(),
+            new PeerFrame.Leaving(),
+            new PeerFrame.Rejected(4, "busy"),
+            new PeerFrame.Follow(),
+            new PeerFrame.StoreContact(Duration.ofMillis(40)),
+            new PeerFrame.Changes(new FeedPage("op", 3, 9, List.of())),
+            new PeerFrame.StopPrimary(8, claim()),
+            new PeerFrame.Stopped(8, true),
+            new PeerFrame.Request(5, new RelayRequest.RollBack(9)),
+            request(new ReadConsistency.Latest(), plain),
+            request(new ReadConsistency.BoundedStaleness(Duration.ofMillis(1_500)), prepared),
+            request(new ReadConsistency.ReadYourWrites(Duration.ofMillis(2_500)), prepared),
+            new PeerFrame.Reply(6, new RelayReply(success(), POSITION)),
+            new PeerFrame.Reply(7, new RelayReply(failure(), Position.NONE)))) {
+      assertEquals(frame, PeerFrameCodec.decode(PeerFrameCodec.encode(frame)));
+    }
+  }
+
+  @Test
+  void truncatedFrameIsRejected() throws IOException {
+    byte[] bytes =
+        PeerFrameCodec.encode(new PeerFrame.Reply(6, new RelayReply(success(), POSITION)));
+    for (int length = 0; length < bytes.length; length++) {
+      byte[] truncated = Arrays.copyOf(bytes, length);
+      assertThrows(PeerProtocolException.class, () -> PeerFrameCodec.decode(truncated));
+    }
+  }
+
+  private static RecordedPrimary claim() {
+    Replacement replacement = new Replacement(new VmId("vm-1"), false);
+    PrimaryRecord record =
+        new PrimaryRecord(
+            new GroupId("ledger-1"),
+            Optional.of(new EndpointId("i-1")),
+            new Term(3),
+            4,
+            Optional.of(replacement));
+    return new RecordedPrimary(record, 77);
+  }
+
+  private static PeerFrame request(ReadConsistency consistency, ForwardedStatement statement) {
+    Route route =
+        new Route(
+            new DatabaseName("lepu270"),
+            new GroupId("ledger-1"),
+            consistency,
+            Duration.ofMillis(1_000),
+            Duration.ofMillis(200),
+            1);
+    RelayContext context =
+        new RelayContext(route, Map.of("zone", "nz"), POSITION, Duration.ofMillis(3));
+    return new PeerFrame.Request(1, new RelayRequest.Commit(2, true, context, statement));
+  }
+
+  private static Answer success() {
+    return new Answer(
+        List.of("row"),
+        Optional.of("7.1f3"),
+        Optional.empty(),
+        TransactionStatus.IN_TRANSACTION,
+        Optional.of(POSITION));
+  }
+
+  private static Answer failure() {
+    return Answer.failed(new Failure(ErrorKind.REPLICA_BEHIND, "behind"), TransactionStatus.FAILED);
+  }
+}
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/FakeGroup.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/FakeGroup.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import org.mimosacleat.core.error.ErrorKind;
@@ -12,6 +13,7 @@
 import org.mimosacleat.core.id.VmId;
 import org.mimosacleat.core.position.Term;
 import org.mimosacleat.serving.FakeEndpoint;
+import org.mimosacleat.serving.FakeMember;
 import org.mimosacleat.serving.ServingFixture;
 import org.mimosacleat.serving.fleet.EndpointEntry;
 import org.mimosacleat.serving.fleet.EndpointRole;
@@ -19,12 +21,22 @@
 /** In-memory endpoints that can be queried, demoted and promoted. */
 final class FakeGroup implements EndpointAdministration, PromotionClient {
   final List<FakeEndpoint> endpoints;
+  PeerStops peers = PeerStops.NONE;
   final List<String> requests = new CopyOnWriteArrayList<>();
 
   FakeGroup(List<FakeEndpoint> endpoints) {
     this.endpoints = endpoints;
   }
 
+  private static PrimaryAccess access(
+      VmId self, ServingFixture proxy, SharedRecords shared, PrimaryRecords records) {
+    ProxyLease lease = new ProxyLease(FakeMember.on(self), shared, proxy.clock, proxy.clock);
+    PrimaryAccess access =
+        new PrimaryAccess(lease, shared, records, proxy.groupStates, proxy.fleet);
+    access.request(Set.of(FakeEndpoint.GROUP));
+    return access;
+  }
+
   /** Returns dependencies that use a proxy's fleet and pools and administer these endpoints. */
   FailoverDependencies dependencies(
       VmId self,
@@ -38,6 +50,9 @@
         proxy.pools,
         proxy.groupStates,
         shared,
+        access(self, proxy, shared, records),
+        _ -> true,
+        peers,
         records,
         this,
         this,
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/FakeRecords.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/FakeRecords.java
@@ -32,6 +32,11 @@
     return Either.right(version);
   }
 
+  @Override
+  public Either<RecordFailure, List<RecordedPrimary>> readPrimaries() {
+    return answer(primary.stream().toList());
+  }
+
   @Override
   public Either<RecordFailure, Long> writeStop(StopRecord stop) {
     stops.add(stop);
--- a/wire/src/main/java/org/mimosacleat/wire/fleet/MessagePackUtil.java
+++ b/wire/src/main/java/org/mimosacleat/wire/fleet/MessagePackUtil.java
@@ -11,23 +11,23 @@
 import org.msgpack.core.MessageUnpacker;
 
 /** Helper methods for the codecs of fleet messages. */
-final class MessagePackUtil {
+public final class MessagePackUtil {
   private MessagePackUtil() {}
 
   /** Writes one value. */
   @FunctionalInterface
-  interface Writer<T> {
+  public interface Writer<T> {
     void write(MessagePacker packer, T value) throws IOException;
   }
 
   /** Reads one value. */
   @FunctionalInterface
-  interface Reader<T> {
+  public interface Reader<T> {
     T read(MessageUnpacker unpacker) throws IOException;
   }
 
   /** Encodes one message. */
-  static <T> byte[] encode(T message, Writer<T> writer) throws IOException {
+  public static <T> byte[] encode(T message, Writer<T> writer) throws IOException {
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
       writer.write(packer, message);
       return packer.toByteArray();
@@ -35,7 +35,8 @@
   }
 
   /** Decodes one message; any error in the bytes is reported as a {@link PeerProtocolException}. */
-  static <T> T decode(byte[] bytes, String name, Reader<T> reader) throws PeerProtocolException {
+  public static <T> T decode(byte[] bytes, String name, Reader<T> reader)
+      throws PeerProtocolException {
     try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
       T message = reader.read(unpacker);
       if (unpacker.hasNext()) {
@@ -49,7 +50,7 @@
     }
   }
 
-  static <T> void writeList(MessagePacker packer, Collection<T> values, Writer<T> writer)
+  public static <T> void writeList(MessagePacker packer, Collection<T> values, Writer<T> writer)
       throws IOException {
     packer.packArrayHeader(values.size());
     for (T value : values) {
@@ -57,7 +58,8 @@
     }
   }
 
-  static <T> List<T> readList(MessageUnpacker unpacker, Reader<T> reader) throws IOException {
+  public static <T> List<T> readList(MessageUnpacker unpacker, Reader<T> reader)
+      throws IOException {
     int count = unpacker.unpackArrayHeader();
     List<T> values = new ArrayList<>();
     for (int index = 0; index < count; index++) {
@@ -66,11 +68,12 @@
     return values;
   }
 
-  static void writeStrings(MessagePacker packer, Collection<String> strings) throws IOException {
+  public static void writeStrings(MessagePacker packer, Collection<String> strings)
+      throws IOException {
     writeList(packer, strings, MessagePacker::packString);
   }
 
-  static List<String> readStrings(MessageUnpacker unpacker) throws IOException {
+  public static List<String> readStrings(MessageUnpacker unpacker) throws IOException {
     return readList(unpacker, MessageUnpacker::unpackString);
   }
 }
--- a/wire/src/main/java/org/mimosacleat/wire/peer/PeerChannel.java
+++ b/wire/src/main/java/org/mimosacleat/wire/peer/PeerChannel.java
@@ -50,8 +50,8 @@
     }
   }
 
-  /** Accepts messages of up to the full size; called once the peer is authenticated. */
-  void raiseReadLimit() {
+  /** Accepts messages of up to the full size; called once the peer is known to be a proxy. */
+  public void raiseReadLimit() {
     maxReadBytes = maxMessageBytes;
   }
 
