--- a/wire/src/main/java/org/mimosacleat/wire/fleet/MessagePackUtil.java
+++ b/wire/src/main/java/org/mimosacleat/wire/fleet/MessagePackUtil.java
@@ -17,12 +17,14 @@
   /** Writes one value. */
   @FunctionalInterface
   public interface Writer<T> {
+    /** Writes the value. */
     void write(MessagePacker packer, T value) throws IOException;
   }
 
   /** Reads one value. */
   @FunctionalInterface
   public interface Reader<T> {
+    /** Reads the value. */
     T read(MessageUnpacker unpacker) throws IOException;
   }
 
@@ -50,6 +52,7 @@
     }
   }
 
+  /** Writes a list of values. */
   public static <T> void writeList(MessagePacker packer, Collection<T> values, Writer<T> writer)
       throws IOException {
     packer.packArrayHeader(values.size());
@@ -58,6 +61,7 @@
     }
   }
 
+  /** Reads a list of values. */
   public static <T> List<T> readList(MessageUnpacker unpacker, Reader<T> reader)
       throws IOException {
     int count = unpacker.unpackArrayHeader();
@@ -68,11 +72,13 @@
     return values;
   }
 
+  /** Writes a list of strings. */
   public static void writeStrings(MessagePacker packer, Collection<String> strings)
       throws IOException {
     writeList(packer, strings, MessagePacker::packString);
   }
 
+  /** Reads a list of strings. */
   public static List<String> readStrings(MessageUnpacker unpacker) throws IOException {
     return readList(unpacker, MessageUnpacker::unpackString);
   }
