Test access to primaries, direct stops and followed feeds

Patterns: a third of a large fleet absent while a primary fails; a proxy that the store turns away; the proxy that reads the store for its zone loses it.

--- /dev/null
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryAccessTest.java
@@ -0,0 +1,100 @@
+package org.mimosacleat.serving.promotion;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.mimosacleat.core.id.VmId;
+import org.mimosacleat.core.position.Term;
+import org.mimosacleat.core.time.PausedClock;
+import org.mimosacleat.serving.FakeEndpoint;
+import org.mimosacleat.serving.FakeMember;
+import org.mimosacleat.serving.ServingFixture;
+
+class PrimaryAccessTest {
+  private static final VmId SELF = new VmId("self");
+  private static final VmId OTHER = new VmId("other");
+
+  private final ServingFixture proxy = new ServingFixture();
+  private final PausedClock wallClock = new PausedClock();
+  private final FakeRecords shared = new FakeRecords();
+  private final ProxyLease lease =
+      new ProxyLease(FakeMember.on(SELF), shared, proxy.clock, wallClock);
+  private final PrimaryAccess access =
+      new PrimaryAccess(lease, shared, new PrimaryRecords(_ -> {}), proxy.groupStates, proxy.fleet);
+
+  @BeforeEach
+  void record() {
+    shared.writePrimary(
+        new PrimaryRecord(
+            FakeEndpoint.GROUP, Optional.of(proxy.primary.id()), new Term(1), 0, Optional.empty()),
+        RecordedPrimary.ABSENT);
+  }
+
+  @Test
+  void isGrantedOnceTheLeaseRecordNamesTheGroup() {
+    assertFalse(access.isGranted(FakeEndpoint.GROUP));
+
+    access.renew();
+
+    assertTrue(access.isGranted(FakeEndpoint.GROUP));
+    assertEquals(Optional.of(Set.of(FakeEndpoint.GROUP)), shared.proxies.get(SELF).groups());
+  }
+
+  @Test
+  void isNotGrantedWhileTheStoreIsDown() {
+    access.renew();
+    shared.down = true;
+    access.request(Set.of(FakeEndpoint.GROUP));
+
+    access.renew();
+
+    assertFalse(access.isGranted(FakeEndpoint.GROUP));
+  }
+
+  @Test
+  void replacementThatStartedBeforeIsFollowed() {
+    claim();
+    access.request(Set.of(FakeEndpoint.GROUP));
+
+    access.renew();
+
+    assertTrue(access.isGranted(FakeEndpoint.GROUP));
+    assertEquals(Optional.empty(), proxy.groupState().primary());
+  }
+
+  @Test
+  void recordsAreReadAgainAfterTheLeaseWasLost() {
+    access.request(Set.of(FakeEndpoint.GROUP));
+    access.renew();
+    wallClock.advance(Duration.ofSeconds(20));
+    assertFalse(access.isGranted(FakeEndpoint.GROUP));
+    claim();
+
+    access.renew();
+
+    assertEquals(Optional.empty(), proxy.groupState().primary());
+  }
+
+  @Test
+  void olderRecordDoesNotEndPause() {
+    RecordedPrimary before = shared.primary.orElseThrow();
+    claim();
+    shared.primary.orElseThrow().applyTo(proxy.groupState());
+
+    before.applyTo(proxy.groupState());
+
+    assertEquals(Optional.empty(), proxy.groupState().primary());
+  }
+
+  private void claim() {
+    RecordedPrimary seen = shared.primary.orElseThrow();
+    shared.writePrimary(
+        seen.record().withReplacement(new Replacement(OTHER, false)), seen.version());
+  }
+}
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryReplacementTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryReplacementTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -13,6 +14,9 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.core.id.VmId;
 import org.mimosacleat.core.position.Term;
 import org.mimosacleat.serving.FakeEndpoint;
@@ -21,6 +25,7 @@
 import org.mimosacleat.serving.fleet.EndpointRole;
 
 class PrimaryReplacementTest {
+  private static final long MAX_MEDIAN_GAP_MILLIS = 1_500;
   private static final VmId SELF = new VmId("self");
   private static final VmId OTHER = new VmId("other");
 
@@ -120,6 +125,56 @@
     assertTrue(run(false));
   }
 
+  @Test
+  void proxyThatMayNotUseThePrimaryIsNotWaitedFor() {
+    oldPrimary.reachable = false;
+    records.proxies.put(
+        OTHER,
+        new ProxyRecord(FakeMember.on(OTHER), Set.of(new GroupId("another")), records.storeMillis));
+
+    assertTrue(run(false));
+  }
+
+  @Test
+  void proxyOfEarlierVersionMayUseEveryPrimary() {
+    oldPrimary.reachable = false;
+    records.proxies.put(
+        OTHER, new ProxyRecord(OTHER, Optional.empty(), Optional.empty(), records.storeMillis));
+
+    assertFalse(run(false));
+  }
+
+  /** Pattern: a proxy that the store turns away still hears of the replacement from others. */
+  @Test
+  void proxyThatConfirmsDirectlyIsNotWaitedFor() {
+    oldPrimary.reachable = false;
+    records.proxies.put(
+        OTHER,
+        new ProxyRecord(FakeMember.on(OTHER), Set.of(FakeEndpoint.GROUP), records.storeMillis));
+    group.peers =
+        (asked, claim) ->
+            Optional.of(new StopRecord(FakeEndpoint.GROUP, asked, claim.record().round(), false));
+
+    assertTrue(run(false));
+  }
+
+  /** Pattern: a primary fails in a large fleet of which a third is dead, frozen or cut off. */
+  @ParameterizedTest
+  @ValueSource(ints = {13, 95, 300})
+  void absentProxiesThatMayNotUseThePrimaryDelayNothing(int size) {
+    oldPrimary.reachable = false;
+    for (int number = 0; number < size; number++) {
+      VmId vm = new VmId("vm-" + number);
+      records.proxies.put(vm, new ProxyRecord(FakeMember.on(vm), Set.of(), records.storeMillis));
+    }
+    Instant start = proxy.clock.instant();
+
+    assertTrue(run(false));
+
+    Duration gap = Duration.between(start, proxy.clock.instant());
+    assertTrue(gap.toMillis() < MAX_MEDIAN_GAP_MILLIS, "gap: " + gap);
+  }
+
   @Test
   void fencingByAnotherProxyIsSufficient() {
     oldPrimary.reachable = false;
