Wait for gateways in place of connecting at the return of a fleet

Cause: while gateways restart, every proxy used its own connections, each after a store write and read for access to the primary. Now a proxy tries the gateways of its zone, a reserve and gateways of other zones, and connects by itself only if it has reached no proxy for a second.

--- a/serving/src/main/java/org/mimosacleat/serving/peer/GatewayPlacement.java
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/GatewayPlacement.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import org.mimosacleat.core.id.AvailabilityZone;
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.core.id.VmId;
 import org.mimosacleat.core.placement.Member;
@@ -20,6 +22,9 @@
   /** Tried after the gateways of the zone, so that their loss makes few proxies connect. */
   private static final int RESERVE_GATEWAYS = 1;
 
+  /** Tried last, since traffic between zones is slower and has a price. */
+  private static final int MAX_DISTANT_GATEWAYS = 6;
+
   /** More are not tried: a proxy that can follow none of them asks the store. */
   private static final int MAX_FEED_SOURCES = 2;
 
@@ -29,7 +34,7 @@
   private final FleetMembers members;
   private final FleetState fleet;
   private final ConnectionShare share;
-  private final Map<GroupId, List<VmId>> ranked = new ConcurrentHashMap<>();
+  private final Map<RankedGroup, List<VmId>> ranked = new ConcurrentHashMap<>();
 
   /** Creates a placement of the groups in the fleet's configuration. */
   public GatewayPlacement(FleetMembers members, FleetState fleet, ConnectionShare share) {
@@ -45,51 +50,76 @@
 
   /** Returns whether this proxy connects to the endpoints of a group by itself. */
   public boolean isGateway(GroupId group) {
-    int count = gatewaysPerZone(group);
-    List<VmId> inZone = ranking(group);
-    return inZone.subList(0, Math.min(count, inZone.size())).contains(members.self().vm());
+    return gatewaysIn(members.self().zone(), group).contains(members.self().vm());
   }
 
   /**
-   * Returns the proxies of this zone that run statements of a group for this proxy, in the order in
-   * which to try them; empty if this proxy is a gateway itself. Proxies begin with different
-   * gateways.
+   * Returns the proxies that run statements of a group for this proxy, in the order in which to try
+   * them: the gateways of its zone, a reserve in its zone, gateways of other zones. Empty if this
+   * proxy is a gateway itself. Proxies begin with different gateways.
    */
   List<VmId> gatewaysFor(GroupId group) {
     if (isGateway(group)) {
       return List.of();
     }
     VmId self = members.self().vm();
-    List<VmId> inZone = ranking(group);
-    int count = Math.min(gatewaysPerZone(group), inZone.size());
-    List<VmId> gateways = new ArrayList<>(inZone.subList(0, count));
-    Collections.rotate(gateways, RankedMembers.spread(group, self, count));
-    int end = Math.min(count + RESERVE_GATEWAYS, inZone.size());
-    List<VmId> reserve = inZone.subList(count, end);
-    if (!reserve.contains(self)) {
-      gateways.addAll(reserve);
-    }
-    return gateways;
+    List<VmId> all = rotated(group, gatewaysIn(members.self().zone(), group));
+    all.addAll(reserveFor(group));
+    List<VmId> distant = new ArrayList<>();
+    otherZones().forEach(zone -> distant.addAll(gatewaysIn(zone, group)));
+    List<VmId> ordered = rotated(group, distant);
+    all.addAll(ordered.subList(0, Math.min(ordered.size(), MAX_DISTANT_GATEWAYS)));
+    all.remove(self);
+    return all;
   }
 
   /** Returns the proxies of this zone whose store feeds this proxy may follow, best first. */
   List<VmId> feedSources() {
-    List<VmId> inZone = ranking(FEEDS);
+    List<VmId> inZone = ranking(members.self().zone(), FEEDS);
     int own = inZone.indexOf(members.self().vm());
     return inZone.subList(0, Math.min(own, MAX_FEED_SOURCES));
   }
 
-  private List<VmId> ranking(GroupId group) {
-    return ranked.computeIfAbsent(group, this::rank);
+  private List<VmId> rotated(GroupId group, List<VmId> gateways) {
+    List<VmId> rotated = new ArrayList<>(gateways);
+    if (!rotated.isEmpty()) {
+      int distance = RankedMembers.spread(group, members.self().vm(), rotated.size());
+      Collections.rotate(rotated, distance);
+    }
+    return rotated;
+  }
+
+  private List<VmId> reserveFor(GroupId group) {
+    List<VmId> inZone = ranking(members.self().zone(), group);
+    int start = gatewaysIn(members.self().zone(), group).size();
+    return inZone.subList(start, Math.min(start + RESERVE_GATEWAYS, inZone.size()));
+  }
+
+  private List<AvailabilityZone> otherZones() {
+    return members.all().stream()
+        .map(FleetMember::zone)
+        .filter(zone -> !zone.equals(members.self().zone()))
+        .distinct()
+        .sorted(Comparator.comparing(AvailabilityZone::value))
+        .toList();
+  }
+
+  private List<VmId> gatewaysIn(AvailabilityZone zone, GroupId group) {
+    List<VmId> inZone = ranking(zone, group);
+    return inZone.subList(0, Math.min(gatewaysPerZone(group), inZone.size()));
   }
 
-  private List<VmId> rank(GroupId group) {
+  private List<VmId> ranking(AvailabilityZone zone, GroupId group) {
+    return ranked.computeIfAbsent(new RankedGroup(zone, group), this::rank);
+  }
+
+  private List<VmId> rank(RankedGroup ranked) {
     List<Member> inZone =
         members.all().stream()
-            .filter(member -> member.zone().equals(members.self().zone()))
+            .filter(member -> member.zone().equals(ranked.zone()))
             .map(member -> new Member(member.vm(), member.zone()))
             .toList();
-    return RankedMembers.of(group, inZone);
+    return RankedMembers.of(ranked.group(), inZone);
   }
 
   private int gatewaysPerZone(GroupId group) {
@@ -100,4 +130,7 @@
         .map(settings -> share.gatewaysPerZone(settings.maximumConnections()))
         .orElse(Integer.MAX_VALUE);
   }
+
+  /** The key of a ranking of the proxies of one zone for one group. */
+  private record RankedGroup(AvailabilityZone zone, GroupId group) {}
 }
--- a/serving/src/main/java/org/mimosacleat/serving/peer/PeerLinks.java
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/PeerLinks.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.ReentrantLock;
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.core.id.VmId;
@@ -21,6 +22,8 @@
 import org.mimosacleat.serving.promotion.StopRecord;
 import org.mimosacleat.serving.relay.Gateway;
 import org.mimosacleat.serving.relay.Relay;
+import org.mimosacleat.serving.relay.RelayRequest;
+import org.mimosacleat.serving.relay.RelayResult;
 import org.tinylog.Logger;
 
 /**
@@ -29,6 +32,9 @@
  * a proxy that is gone.
  */
 public final class PeerLinks implements Relay, PeerStops, FeedSources {
+  /** How long no proxy must be reachable until this one uses its own connections. */
+  private static final Duration ISOLATION_TIMEOUT = Duration.ofMillis(1_000);
+
   private static final Duration STOP_TIMEOUT = Duration.ofMillis(1_500);
   private static final Duration RECONNECT_INTERVAL = Duration.ofMillis(250);
 
@@ -37,6 +43,7 @@
   private final ExecutorService executor;
   private final InstantSource clock;
   private final Sleeper sleeper;
+  private final AtomicReference<Instant> lastConnectedAt;
   private final Map<VmId, Peer> peers = new ConcurrentHashMap<>();
 
   /** Creates an instance without open connections. */
@@ -51,15 +58,23 @@
     this.executor = executor;
     this.clock = clock;
     this.sleeper = sleeper;
+    this.lastConnectedAt = new AtomicReference<>(clock.instant());
   }
 
   @Override
   public List<Gateway> gatewaysOf(GroupId group) {
-    List<Gateway> usable = new ArrayList<>();
+    List<Gateway> gateways = new ArrayList<>();
     for (VmId vm : placement.gatewaysFor(group)) {
-      members.find(vm).flatMap(this::link).ifPresent(usable::add);
+      members.find(vm).ifPresent(member -> gateways.add(new LinkedGateway(member)));
     }
-    return usable;
+    return gateways;
+  }
+
+  @Override
+  public boolean isIsolated() {
+    Duration since = Duration.between(lastConnectedAt.get(), clock.instant());
+    return since.compareTo(ISOLATION_TIMEOUT) > 0
+        && peers.values().stream().noneMatch(Peer::takesWork);
   }
 
   @Override
@@ -97,7 +112,7 @@
     }
     peer.lock.lock();
     try {
-      if (peer.link != null && peer.link.takesWork()) {
+      if (peer.takesWork()) {
         return Optional.of(peer.link);
       }
       if (peer.reconnecting) {
@@ -115,7 +130,7 @@
 
   private Optional<PeerLink> connect(FleetMember member, Peer peer) {
     try {
-      peer.link = PeerLink.connect(members.self().vm(), member, executor, clock);
+      peer.link = connectTo(member);
       return Optional.of(peer.link);
     } catch (IOException unreachable) {
       Logger.info(
@@ -128,6 +143,12 @@
     }
   }
 
+  private PeerLink connectTo(FleetMember member) throws IOException {
+    PeerLink connected = PeerLink.connect(members.self().vm(), member, executor, clock);
+    lastConnectedAt.set(clock.instant());
+    return connected;
+  }
+
   private void reconnectInBackground(FleetMember member, Peer peer) {
     peer.reconnecting = true;
     executor.execute(() -> reconnect(member.vm(), peer));
@@ -141,7 +162,7 @@
         return;
       }
       try {
-        peer.link = PeerLink.connect(members.self().vm(), member.get(), executor, clock);
+        peer.link = connectTo(member.get());
         peer.reconnecting = false;
         Logger.info("connected to proxy {} again", vm);
         return;
@@ -156,5 +177,34 @@
     private final ReentrantLock lock = new ReentrantLock();
     private volatile PeerLink link;
     private volatile boolean reconnecting;
+
+    private boolean takesWork() {
+      PeerLink current = link;
+      return current != null && current.takesWork();
+    }
+  }
+
+  /** A gateway whose connection is opened by the first request. */
+  private final class LinkedGateway implements Gateway {
+    private final FleetMember member;
+
+    LinkedGateway(FleetMember member) {
+      this.member = member;
+    }
+
+    @Override
+    public RelayResult execute(RelayRequest request, Instant deadline) {
+      return link(member)
+          .map(link -> link.execute(request, deadline))
+          .orElseGet(() -> new RelayResult.NotRun("proxy " + member.vm() + " is unreachable"));
+    }
+
+    @Override
+    public void send(RelayRequest request) {
+      Peer peer = peers.get(member.vm());
+      if (peer != null && peer.link != null && peer.link.isOpen()) {
+        peer.link.send(request);
+      }
+    }
   }
 }
--- a/serving/src/main/java/org/mimosacleat/serving/session/RelayTimes.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/RelayTimes.java
@@ -26,9 +26,14 @@
     return arrivedAt.plus(route.statementTimeout()).plus(REPLY_MARGIN);
   }
 
+  /** Returns until when a statement that has not run may wait. */
+  Instant waitLimit() {
+    return RetryLoop.waitLimit(route, arrivedAt);
+  }
+
   /** Returns whether another gateway could not answer before the statement's deadline. */
   boolean isTooLateForAnother() {
-    return !clock.instant().isBefore(RetryLoop.waitLimit(route, arrivedAt));
+    return !clock.instant().isBefore(waitLimit());
   }
 
   /** Returns what a gateway must know, as of now. */
--- a/serving/src/main/java/org/mimosacleat/serving/session/RoutedStatements.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/RoutedStatements.java
@@ -1,6 +1,8 @@
 package org.mimosacleat.serving.session;
 
 import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
 import org.mimosacleat.core.connection.TransactionStatus;
 import org.mimosacleat.core.error.ErrorKind;
 import org.mimosacleat.core.error.Failure;
@@ -31,27 +33,44 @@
   Answer run(ForwardedStatement statement, Route route) {
     Instant arrivedAt = dependencies.clock().instant();
     RelayTimes times = new RelayTimes(dependencies.clock(), route, arrivedAt);
-    for (Gateway gateway : dependencies.relay().gatewaysOf(route.group())) {
+    do {
+      List<Gateway> gateways = dependencies.relay().gatewaysOf(route.group());
+      Optional<Answer> answer = runAtFirst(gateways, statement, route, times);
+      if (answer.isPresent()) {
+        return answer.get();
+      }
+      if (gateways.isEmpty() || dependencies.relay().isIsolated()) {
+        return own.run(statement, route, arrivedAt);
+      }
+    } while (dependencies.retryLoop().pause(times.waitLimit()));
+    return failed(ErrorKind.UNAVAILABLE, "no gateway of " + route.group() + " can be reached");
+  }
+
+  /** Runs the statement at the first gateway that takes it; empty if none has. */
+  private Optional<Answer> runAtFirst(
+      List<Gateway> gateways, ForwardedStatement statement, Route route, RelayTimes times) {
+    for (Gateway gateway : gateways) {
       RelayRequest request = new RelayRequest.RunStatement(times.context(session), statement);
       switch (gateway.execute(request, times.replyDeadline())) {
         case RelayResult.Replied(RelayReply reply) -> {
           session.recordWrite(route.group(), reply.lastWrite());
-          return reply.answer();
+          return Optional.of(reply.answer());
         }
         case RelayResult.NotRun _ -> {
           // The next gateway is tried.
         }
         case RelayResult.Unknown(String reason) -> {
           if (statement.writes()) {
-            return failed(ErrorKind.CONNECTION_LOST, reason);
+            return Optional.of(failed(ErrorKind.CONNECTION_LOST, reason));
           }
         }
       }
       if (times.isTooLateForAnother()) {
-        return failed(ErrorKind.UNAVAILABLE, "no gateway of " + route.group() + " replied in time");
+        String detail = "no gateway of " + route.group() + " replied in time";
+        return Optional.of(failed(ErrorKind.UNAVAILABLE, detail));
       }
     }
-    return own.run(statement, route, arrivedAt);
+    return Optional.empty();
   }
 
   private static Answer failed(ErrorKind kind, String detail) {
--- a/serving/src/main/java/org/mimosacleat/serving/session/RoutedTransaction.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/RoutedTransaction.java
@@ -1,5 +1,6 @@
 package org.mimosacleat.serving.session;
 
+import java.util.List;
 import java.util.Optional;
 import org.mimosacleat.core.connection.TransactionStatus;
 import org.mimosacleat.core.error.ErrorKind;
@@ -58,12 +59,7 @@
   private Answer runRelayed(ForwardedStatement statement) {
     RelayTimes times = newTimes();
     if (gateway == null) {
-      return begin(statement, times)
-          .orElseGet(
-              () -> {
-                own = new OpenTransaction(dependencies, session, route, readOnly);
-                return own.run(statement);
-              });
+      return begin(statement, times);
     }
     RelayRequest request =
         new RelayRequest.RunInTransaction(number, readOnly, times.context(session), statement);
@@ -74,9 +70,25 @@
     };
   }
 
-  /** Begins on the first gateway that takes the statement; empty if none has. */
-  private Optional<Answer> begin(ForwardedStatement statement, RelayTimes times) {
-    for (Gateway candidate : dependencies.relay().gatewaysOf(route.group())) {
+  private Answer begin(ForwardedStatement statement, RelayTimes times) {
+    do {
+      List<Gateway> gateways = dependencies.relay().gatewaysOf(route.group());
+      Optional<Answer> answer = beginAtFirst(gateways, statement, times);
+      if (answer.isPresent()) {
+        return answer.get();
+      }
+      if (gateways.isEmpty() || dependencies.relay().isIsolated()) {
+        own = new OpenTransaction(dependencies, session, route, readOnly);
+        return own.run(statement);
+      }
+    } while (dependencies.retryLoop().pause(times.waitLimit()));
+    return refuse(ErrorKind.TRANSACTION_LOST, "no gateway of " + route.group() + " can be reached");
+  }
+
+  /** Begins at the first gateway that takes the statement; empty if none has. */
+  private Optional<Answer> beginAtFirst(
+      List<Gateway> gateways, ForwardedStatement statement, RelayTimes times) {
+    for (Gateway candidate : gateways) {
       RelayRequest request =
           new RelayRequest.RunInTransaction(number, readOnly, times.context(session), statement);
       switch (candidate.execute(request, times.replyDeadline())) {
