Open connections ahead and shorten the start

Cause: after a power failure of the whole fleet the first statements waited for links, access and connections, and the start itself took 0.52 s of processor time. Links, access to primaries and one connection an endpoint are now prepared before statements need them, and links are opened in the background only. One log line for the first endpoint list.

--- a/core/src/main/java/org/mimosacleat/core/id/AvailabilityZone.java
+++ b/core/src/main/java/org/mimosacleat/core/id/AvailabilityZone.java
@@ -22,4 +22,15 @@
   public String toString() {
     return value;
   }
+
+  /** Written out, because the generated method is linked at run time, which delays the start. */
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof AvailabilityZone that && value.equals(that.value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
 }
--- a/core/src/main/java/org/mimosacleat/core/id/EndpointId.java
+++ b/core/src/main/java/org/mimosacleat/core/id/EndpointId.java
@@ -22,4 +22,15 @@
   public String toString() {
     return value;
   }
+
+  /** Written out, because the generated method is linked at run time, which delays the start. */
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof EndpointId that && value.equals(that.value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
 }
--- a/serving/src/main/java/org/mimosacleat/serving/endpoint/EndpointPool.java
+++ b/serving/src/main/java/org/mimosacleat/serving/endpoint/EndpointPool.java
@@ -122,6 +122,13 @@
     return Either.right(newBorrowedConnection(new PooledConnection(dialed.get())));
   }
 
+  /** Opens a connection if none is open, so that the first statement does not wait for it. */
+  void openAhead() {
+    if (open() == 0) {
+      borrow(Map.of(), Urgency.NONE, clock.instant()).peek(BorrowedConnection::release);
+    }
+  }
+
   int waitingCount() {
     return permits.waitingCount();
   }
--- a/serving/src/main/java/org/mimosacleat/serving/endpoint/EndpointPools.java
+++ b/serving/src/main/java/org/mimosacleat/serving/endpoint/EndpointPools.java
@@ -68,6 +68,13 @@
     pools.values().forEach(pool -> pool.resize(sizeFor(pool.entry().group())));
   }
 
+  /** Opens one connection to each endpoint whose gateway this proxy is, unless one is open. */
+  public void openAhead() {
+    pools.values().stream()
+        .filter(pool -> isGateway.test(pool.entry().group()))
+        .forEach(EndpointPool::openAhead);
+  }
+
   private EndpointPool replace(EndpointPool known, EndpointEntry entry) {
     if (known != null) {
       known.close();
--- a/serving/src/main/java/org/mimosacleat/serving/endpoint/Urgency.java
+++ b/serving/src/main/java/org/mimosacleat/serving/endpoint/Urgency.java
@@ -12,6 +12,9 @@
  * @param answerBy the time after which the objective is missed
  */
 public record Urgency(int priority, Instant answerBy) {
+  /** For what no client waits for. */
+  static final Urgency NONE = new Urgency(Integer.MAX_VALUE, Instant.MAX);
+
   private static final Comparator<Urgency> BY_PRIORITY_AND_TIME =
       Comparator.comparingInt(Urgency::priority).thenComparing(Urgency::answerBy);
 
--- a/serving/src/main/java/org/mimosacleat/serving/feed/FeedFollower.java
+++ b/serving/src/main/java/org/mimosacleat/serving/feed/FeedFollower.java
@@ -21,7 +21,7 @@
  */
 public final class FeedFollower implements Runnable {
   /** Longer than a poll of the publisher; far shorter than a change of configuration may take. */
-  private static final Duration MAX_CONTACT_AGE = Duration.ofMillis(1_700);
+  private static final Duration MAX_CONTACT_AGE = Duration.ofMillis(2_000);
 
   private static final Duration SOURCE_CHECK_INTERVAL = Duration.ofMillis(300);
   private static final int MAX_QUEUED_PAGES = 1_024;
--- a/serving/src/main/java/org/mimosacleat/serving/fleet/DatabaseName.java
+++ b/serving/src/main/java/org/mimosacleat/serving/fleet/DatabaseName.java
@@ -17,4 +17,15 @@
   public String toString() {
     return value;
   }
+
+  /** Written out, because the generated method is linked at run time, which delays the start. */
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof DatabaseName that && value.equals(that.value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
 }
--- a/serving/src/main/java/org/mimosacleat/serving/fleet/EndpointEntry.java
+++ b/serving/src/main/java/org/mimosacleat/serving/fleet/EndpointEntry.java
@@ -35,6 +35,44 @@
     Checks.positive("slots of " + id, slots);
   }
 
+  /** Written out, because the generated method is linked at run time, which delays the start. */
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof EndpointEntry that
+        && id.equals(that.id)
+        && group.equals(that.group)
+        && address.equals(that.address)
+        && zone.equals(that.zone)
+        && slots == that.slots
+        && draining == that.draining
+        && role == that.role
+        && startedAtMillis == that.startedAtMillis;
+  }
+
+  @Override
+  public int hashCode() {
+    return id.hashCode();
+  }
+
+  @Override
+  public String toString() {
+    return id
+        + " of group "
+        + group
+        + " at "
+        + address
+        + " in "
+        + zone
+        + ", slots "
+        + slots
+        + ", draining "
+        + draining
+        + ", role "
+        + role
+        + ", started at "
+        + startedAtMillis;
+  }
+
   /** Returns whether both entries describe the same endpoint since the same process start. */
   public boolean isSameInstanceAs(EndpointEntry other) {
     return id.equals(other.id)
--- a/serving/src/main/java/org/mimosacleat/serving/peer/FleetMember.java
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/FleetMember.java
@@ -19,4 +19,18 @@
     Checks.notNull("availability zone of " + vm, zone);
     Checks.notNull("address of " + vm, address);
   }
+
+  /** Written out, because the generated method is linked at run time, which delays the start. */
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof FleetMember that
+        && vm.equals(that.vm)
+        && zone.equals(that.zone)
+        && address.equals(that.address);
+  }
+
+  @Override
+  public int hashCode() {
+    return vm.hashCode();
+  }
 }
--- a/serving/src/main/java/org/mimosacleat/serving/peer/FleetMembers.java
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/FleetMembers.java
@@ -13,6 +13,7 @@
 public final class FleetMembers {
   private final FleetMember self;
   private final AtomicReference<Map<VmId, FleetMember>> members;
+  private volatile boolean known;
 
   /** Creates a fleet that consists of this proxy alone. */
   public FleetMembers(FleetMember self) {
@@ -33,9 +34,15 @@
             .collect(Collectors.toMap(FleetMember::vm, Function.identity(), (first, _) -> first));
     byVm.put(self.vm(), self);
     Map<VmId, FleetMember> next = Map.copyOf(byVm);
+    known = true;
     return !members.getAndSet(next).equals(next);
   }
 
+  /** Returns whether the members have been read at least once. */
+  public boolean areKnown() {
+    return known;
+  }
+
   /** Returns all members. */
   public Collection<FleetMember> all() {
     return members.get().values();
--- a/serving/src/main/java/org/mimosacleat/serving/peer/GatewayPlacement.java
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/GatewayPlacement.java
@@ -73,6 +73,11 @@
     return all;
   }
 
+  /** Returns the other gateways of this zone; empty if this proxy is a gateway itself. */
+  List<VmId> gatewaysInZoneFor(GroupId group) {
+    return isGateway(group) ? List.of() : gatewaysIn(members.self().zone(), group);
+  }
+
   /** Returns the proxies of this zone whose store feeds this proxy may follow, best first. */
   List<VmId> feedSources() {
     List<VmId> inZone = ranking(members.self().zone(), FEEDS);
@@ -132,5 +137,17 @@
   }
 
   /** The key of a ranking of the proxies of one zone for one group. */
-  private record RankedGroup(AvailabilityZone zone, GroupId group) {}
+  private record RankedGroup(AvailabilityZone zone, GroupId group) {
+    @Override
+    public boolean equals(Object other) {
+      return other instanceof RankedGroup that
+          && zone.equals(that.zone)
+          && group.equals(that.group);
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * zone.hashCode() + group.hashCode();
+    }
+  }
 }
--- a/serving/src/main/java/org/mimosacleat/serving/peer/PeerLink.java
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/PeerLink.java
@@ -37,6 +37,9 @@
 final class PeerLink implements Gateway {
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(250);
 
+  /** A proxy that has just started may be slow to answer. */
+  private static final Duration HELLO_TIMEOUT = Duration.ofMillis(1_500);
+
   /** How long nothing may arrive until the gateway is asked whether it is alive. */
   private static final Duration PING_DELAY = Duration.ofMillis(150);
 
@@ -71,7 +74,7 @@
       throws IOException {
     Socket socket = Sockets.connect(peer.address(), CONNECT_TIMEOUT);
     try {
-      socket.setSoTimeout((int) CONNECT_TIMEOUT.toMillis());
+      socket.setSoTimeout((int) HELLO_TIMEOUT.toMillis());
       PeerTransport transport = new PeerTransport(socket);
       transport.sendHello(self);
       VmId answered = transport.receiveHello();
--- a/serving/src/main/java/org/mimosacleat/serving/peer/PeerLinks.java
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/PeerLinks.java
@@ -5,13 +5,14 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.concurrent.locks.ReentrantLock;
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.core.id.VmId;
 import org.mimosacleat.core.time.Sleeper;
@@ -27,9 +28,8 @@
 import org.tinylog.Logger;
 
 /**
- * The connections to the gateways of this proxy's zone. A connection is opened by the first request
- * that needs it. One that was lost is opened again in the background, so that no request waits for
- * a proxy that is gone.
+ * The connections to other proxies. They are opened in the background, and again when they are
+ * lost, so that no request waits for a proxy that is gone.
  */
 public final class PeerLinks implements Relay, PeerStops, FeedSources {
   /** How long no proxy must be reachable until this one uses its own connections. */
@@ -100,61 +100,28 @@
         .isPresent();
   }
 
-  /** Returns the open connection to a proxy, or opens one unless the last try has failed. */
+  /** Opens the connections to the gateways of this zone, so that no request has to wait for it. */
+  public void connectAhead(Collection<GroupId> groups) {
+    for (GroupId group : groups) {
+      placement.gatewaysInZoneFor(group).forEach(vm -> members.find(vm).ifPresent(this::link));
+    }
+  }
+
+  /** Returns the open connection to a proxy; if there is none, opens one in the background. */
   private Optional<PeerLink> link(FleetMember member) {
     Peer peer = peers.computeIfAbsent(member.vm(), _ -> new Peer());
     PeerLink known = peer.link;
     if (known != null && known.takesWork()) {
       return Optional.of(known);
     }
-    if (peer.reconnecting) {
-      return Optional.empty();
-    }
-    peer.lock.lock();
-    try {
-      if (peer.takesWork()) {
-        return Optional.of(peer.link);
-      }
-      if (peer.reconnecting) {
-        return Optional.empty();
-      }
-      if (peer.link == null) {
-        return connect(member, peer);
-      }
-      reconnectInBackground(member, peer);
-      return Optional.empty();
-    } finally {
-      peer.lock.unlock();
-    }
-  }
-
-  private Optional<PeerLink> connect(FleetMember member, Peer peer) {
-    try {
-      peer.link = connectTo(member);
-      return Optional.of(peer.link);
-    } catch (IOException unreachable) {
-      Logger.info(
-          "proxy {} at {} is unreachable: {}",
-          member.vm(),
-          member.address(),
-          unreachable.getMessage());
-      reconnectInBackground(member, peer);
-      return Optional.empty();
+    if (peer.connecting.compareAndSet(false, true)) {
+      executor.execute(() -> connect(member.vm(), peer));
     }
+    return Optional.empty();
   }
 
-  private PeerLink connectTo(FleetMember member) throws IOException {
-    PeerLink connected = PeerLink.connect(members.self().vm(), member, executor, clock);
-    lastConnectedAt.set(clock.instant());
-    return connected;
-  }
-
-  private void reconnectInBackground(FleetMember member, Peer peer) {
-    peer.reconnecting = true;
-    executor.execute(() -> reconnect(member.vm(), peer));
-  }
-
-  private void reconnect(VmId vm, Peer peer) {
+  private void connect(VmId vm, Peer peer) {
+    boolean failed = false;
     while (!Thread.currentThread().isInterrupted()) {
       Optional<FleetMember> member = members.find(vm);
       if (member.isEmpty()) {
@@ -163,20 +130,29 @@
       }
       try {
         peer.link = connectTo(member.get());
-        peer.reconnecting = false;
-        Logger.info("connected to proxy {} again", vm);
+        peer.connecting.set(false);
+        Logger.info("connected to proxy {}{}", vm, failed ? " again" : "");
         return;
       } catch (IOException unreachable) {
+        if (!failed) {
+          Logger.info("proxy {} is unreachable, retrying: {}", vm, unreachable.getMessage());
+        }
+        failed = true;
         sleeper.sleep(RECONNECT_INTERVAL);
       }
     }
   }
 
+  private PeerLink connectTo(FleetMember member) throws IOException {
+    PeerLink connected = PeerLink.connect(members.self().vm(), member, executor, clock);
+    lastConnectedAt.set(clock.instant());
+    return connected;
+  }
+
   /** The connection to one proxy, or the tries to open it. */
   private static final class Peer {
-    private final ReentrantLock lock = new ReentrantLock();
+    private final AtomicBoolean connecting = new AtomicBoolean();
     private volatile PeerLink link;
-    private volatile boolean reconnecting;
 
     private boolean takesWork() {
       PeerLink current = link;
@@ -184,7 +160,7 @@
     }
   }
 
-  /** A gateway whose connection is opened by the first request. */
+  /** A gateway that rejects requests while no connection to it is open. */
   private final class LinkedGateway implements Gateway {
     private final FleetMember member;
 
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/GroupFailoverController.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/GroupFailoverController.java
@@ -27,6 +27,9 @@
 final class GroupFailoverController implements Runnable {
   private static final Duration EVALUATION_INTERVAL = Duration.ofMillis(500);
 
+  /** Of proxies that act only if the gateways of the group do not. */
+  private static final Duration LONG_EVALUATION_INTERVAL = Duration.ofMillis(2_000);
+
   /** Time without progress after which another proxy takes over a replacement. */
   private static final Duration TAKEOVER_TIMEOUT = Duration.ofMillis(3_000);
 
@@ -81,8 +84,10 @@
   public void run() {
     try {
       while (true) {
+        boolean watches = dependencies.isGateway().test(group);
+        Duration interval = watches ? EVALUATION_INTERVAL : LONG_EVALUATION_INTERVAL;
         Optional<String> reason =
-            pendingEvaluations.poll(EVALUATION_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+            pendingEvaluations.poll(interval.toMillis(), TimeUnit.MILLISECONDS);
         evaluate(reason == null ? Optional.empty() : reason);
       }
     } catch (InterruptedException stopped) {
@@ -136,8 +141,11 @@
 
   private void checkPrimary(RecordedPrimary recorded, Optional<String> reason) {
     PrimaryRecord record = recorded.record();
+    Optional<EndpointId> usedBefore = state.primary();
     recorded.applyTo(state);
-    dependencies.fleet().notifyWaiters();
+    if (!state.primary().equals(usedBefore)) {
+      dependencies.fleet().notifyWaiters();
+    }
     if (state.term().isAfter(record.term())) {
       checkLaterTerm(recorded, reason);
       return;
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/LeaseRenewer.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/LeaseRenewer.java
@@ -13,7 +13,7 @@
 public final class LeaseRenewer implements Runnable {
   private static final Duration RENEWAL_INTERVAL = Duration.ofSeconds(4);
   private static final Duration RETRY_INTERVAL = Duration.ofMillis(400);
-  private static final Duration CHECK_INTERVAL = Duration.ofMillis(200);
+  private static final Duration CHECK_INTERVAL = Duration.ofMillis(400);
   private static final Duration MIN_LIST_INTERVAL = Duration.ofMillis(1_000);
 
   /** Number of renewals after which the proxies are listed again. */
--- a/serving/src/main/java/org/mimosacleat/serving/routing/EndpointTracker.java
+++ b/serving/src/main/java/org/mimosacleat/serving/routing/EndpointTracker.java
@@ -1,12 +1,14 @@
 package org.mimosacleat.serving.routing;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.mimosacleat.core.id.EndpointId;
 import org.mimosacleat.core.position.Term;
 import org.mimosacleat.serving.endpoint.EndpointPools;
@@ -41,16 +43,28 @@
     this.scheduler = scheduler;
   }
 
+  /** Applies the complete list, and schedules the removal of all other endpoints. */
+  public void replaceAll(List<EndpointEntry> listed) {
+    Logger.info("endpoint list read: {}", listed);
+    listed.forEach(this::apply);
+    Set<EndpointId> ids = listed.stream().map(EndpointEntry::id).collect(Collectors.toSet());
+    endpoints.keySet().stream().filter(id -> !ids.contains(id)).forEach(this::scheduleRemoval);
+  }
+
   /** Adds an endpoint or applies its changed entry. */
   public void update(EndpointEntry entry) {
+    if (!entry.equals(endpoints.get(entry.id()))) {
+      Logger.info("endpoint reported: {}", entry);
+    }
+    apply(entry);
+  }
+
+  private void apply(EndpointEntry entry) {
     ScheduledFuture<?> removal = removals.remove(entry.id());
     if (removal != null) {
       removal.cancel(false);
     }
     EndpointEntry before = endpoints.put(entry.id(), entry);
-    if (!entry.equals(before)) {
-      Logger.info("endpoint {} reported: {}", entry.id(), entry);
-    }
     setInitialPrimary(entry);
     pools.put(entry);
     if (!entry.equals(before)) {
@@ -69,11 +83,6 @@
             scheduler.schedule(() -> remove(id), REMOVAL_DELAY.toMillis(), TimeUnit.MILLISECONDS));
   }
 
-  /** Schedules the removal of all endpoints except these, which are the ones now listed. */
-  public void retain(Set<EndpointId> listed) {
-    endpoints.keySet().stream().filter(id -> !listed.contains(id)).forEach(this::scheduleRemoval);
-  }
-
   private void remove(EndpointId endpoint) {
     removals.remove(endpoint);
     EndpointEntry last = endpoints.remove(endpoint);
--- a/serving/src/main/java/org/mimosacleat/serving/session/FailureLog.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/FailureLog.java
@@ -16,7 +16,7 @@
  * second logs how many lines were omitted.
  */
 final class FailureLog {
-  private static final int MAX_LINES_PER_SECOND = 40;
+  private static final int MAX_LINES_PER_SECOND = 15;
   private static final Duration WINDOW_LENGTH = Duration.ofSeconds(1);
 
   private final InstantSource clock;
