--- a/serving/src/test/java/org/mimosacleat/serving/feed/FeedFollowerTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/feed/FeedFollowerTest.java
@@ -58,7 +58,7 @@
   }
 
   @Test
-  void changesOfAProxyThatIsNoLongerFollowedAreIgnored() throws InterruptedException {
+  void changesOfProxyNoLongerFollowedAreIgnored() throws InterruptedException {
     follower.chooseSource();
     clock.advance(Duration.ofSeconds(2));
     follower.chooseSource();
@@ -69,7 +69,7 @@
   }
 
   @Test
-  void pageWithGapIsNotAContinuation() {
+  void pageWithGapContinuesNothing() {
     assertTrue(PAGE.continues(3));
     assertTrue(PAGE.continues(5));
     assertFalse(PAGE.continues(2));
