Make lease renewals conditional on the record's version

Cause: the store may perform a call whose answer was lost seconds later. An old renewal could then replace one that names more groups, and a replacement would not wait for this proxy. Test with a late write, which failed before.

--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryUsers.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryUsers.java
@@ -5,6 +5,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.mimosacleat.core.id.GroupId;
@@ -25,7 +26,7 @@
   private final Set<VmId> stopped = ConcurrentHashMap.newKeySet();
   private final Set<VmId> beingAsked = ConcurrentHashMap.newKeySet();
   private volatile boolean fenced;
-  private ProxyList list = new ProxyList(List.of(), 0);
+  private ProxyList list = new ProxyList(List.of(), Map.of(), 0);
   private Instant nextListAt = Instant.MIN;
   private Instant nextStopRecordsAt = Instant.MIN;
 
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/ProxyLease.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/ProxyLease.java
@@ -6,6 +6,7 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.serving.peer.FleetMember;
@@ -24,6 +25,7 @@
   /** Added to {@link #DURATION} before another proxy's lease is considered expired. */
   public static final Duration EXPIRY_MARGIN = Duration.ofSeconds(1);
 
+  private static final long UNKNOWN = -1;
   private static final Duration MAX_CLOCK_DRIFT = Duration.ofMillis(700);
 
   private final FleetMember self;
@@ -32,6 +34,7 @@
   private final InstantSource wallClock;
   private final AtomicReference<Renewal> renewal =
       new AtomicReference<>(new Renewal(Instant.MIN, Duration.ZERO, 0));
+  private final AtomicLong recordVersion = new AtomicLong(UNKNOWN);
   private final AtomicReference<StoreTime> storeTime = new AtomicReference<>();
 
   /**
@@ -72,6 +75,7 @@
     return records
         .readProxies()
         .peek(list -> storeTime.set(new StoreTime(list.storeMillis(), sentAt, drift)))
+        .peek(list -> recordVersion.set(list.versionOf(self.vm())))
         .map(this::otherHolders);
   }
 
@@ -82,7 +86,7 @@
    */
   public Either<RecordFailure, Long> renew(Set<GroupId> groups) {
     StoreTime time = storeTime.get();
-    if (time == null || hasDrifted(time.drift())) {
+    if (time == null || hasDrifted(time.drift()) || recordVersion.get() == UNKNOWN) {
       return refreshStoreTime().flatMap(_ -> renewAt(storeTime.get(), groups));
     }
     return renewAt(time, groups);
@@ -92,7 +96,7 @@
   public void release() {
     renewal.set(new Renewal(Instant.MIN, Duration.ZERO, period()));
     records
-        .removeProxy(self.vm())
+        .removeProxy(self.vm(), recordVersion.get())
         .peekLeft(
             failure ->
                 Logger.warn(
@@ -110,10 +114,19 @@
     Duration drift = drift();
     Instant sentAt = clock.instant();
     return records
-        .renewProxy(new ProxyRecord(self, groups, time.latestAt(sentAt)))
+        .renewProxy(new ProxyRecord(self, groups, time.latestAt(sentAt)), recordVersion.get())
+        .peek(recordVersion::set)
+        .peekLeft(this::forgetVersion)
         .peek(_ -> extend(sentAt, drift));
   }
 
+  /** After a conflict or a lost answer the record's version has to be read again. */
+  private void forgetVersion(RecordFailure failure) {
+    if (failure != RecordFailure.NOT_DONE) {
+      recordVersion.set(UNKNOWN);
+    }
+  }
+
   private void extend(Instant sentAt, Duration drift) {
     Renewal last = renewal.get();
     long period = isValid(last) ? last.period() : last.period() + 1;
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/SharedRecords.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/SharedRecords.java
@@ -25,11 +25,19 @@
   /** Reads which proxies have stopped using a group's primary. */
   Either<RecordFailure, List<StopRecord>> readStops(GroupId group);
 
-  /** Writes the lease record of a proxy. */
-  Either<RecordFailure, Long> renewProxy(ProxyRecord proxy);
+  /**
+   * Writes the lease record of a proxy if its version is still {@code expectedVersion}. A write
+   * that the store performs late can't replace a newer record.
+   *
+   * @return the new version
+   */
+  Either<RecordFailure, Long> renewProxy(ProxyRecord proxy, long expectedVersion);
 
-  /** Removes the lease record of a proxy that no longer uses any primary. */
-  Either<RecordFailure, Long> removeProxy(VmId proxy);
+  /**
+   * Removes the lease record of a proxy that no longer uses any primary, if its version is still
+   * {@code expectedVersion}.
+   */
+  Either<RecordFailure, Long> removeProxy(VmId proxy, long expectedVersion);
 
   /** Reads the lease records of all proxies, with the store's time of the answer. */
   Either<RecordFailure, ProxyList> readProxies();
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/FakeGroup.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/FakeGroup.java
@@ -22,6 +22,7 @@
 final class FakeGroup implements EndpointAdministration, PromotionClient {
   final List<FakeEndpoint> endpoints;
   PeerStops peers = PeerStops.NONE;
+  Runnable promotionListener = () -> {};
   final List<String> requests = new CopyOnWriteArrayList<>();
 
   FakeGroup(List<FakeEndpoint> endpoints) {
@@ -85,6 +86,7 @@
     FakeEndpoint endpoint = find(id);
     endpoint.role = EndpointRole.PRIMARY;
     endpoint.term = new Term(2);
+    promotionListener.run();
     requests.add("promote " + id + " by " + holder + " token " + token);
     return Result.TAKEN;
   }
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryAccessTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryAccessTest.java
@@ -46,6 +46,21 @@
     assertEquals(Optional.of(Set.of(FakeEndpoint.GROUP)), shared.proxies.get(SELF).groups());
   }
 
+  /** Pattern: the answer to a renewal is lost, and the store performs it seconds later. */
+  @Test
+  void renewalThatIsPerformedLateDoesNotReplaceRecordThatNamesMoreGroups() {
+    access.renew();
+    shared.losesNextAnswer = true;
+    access.renew();
+    access.request(Set.of(FakeEndpoint.GROUP));
+    access.renew();
+
+    shared.performLateWrite();
+
+    assertTrue(access.isGranted(FakeEndpoint.GROUP));
+    assertTrue(shared.proxies.get(SELF).mayUsePrimaryOf(FakeEndpoint.GROUP));
+  }
+
   @Test
   void isNotGrantedWhileTheStoreIsDown() {
     access.renew();
