--- a/serving/src/main/java/org/mimosacleat/serving/promotion/LeaseRenewer.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/LeaseRenewer.java
@@ -11,13 +11,13 @@
 
 /** Renews the lease of this proxy periodically and lists the proxies that hold a lease. */
 public final class LeaseRenewer implements Runnable {
-  private static final Duration RENEWAL_INTERVAL = Duration.ofSeconds(4);
+  private static final Duration RENEWAL_INTERVAL = Duration.ofSeconds(5);
   private static final Duration RETRY_INTERVAL = Duration.ofMillis(400);
   private static final Duration CHECK_INTERVAL = Duration.ofMillis(400);
   private static final Duration MIN_LIST_INTERVAL = Duration.ofMillis(1_000);
 
   /** Number of renewals after which the proxies are listed again. */
-  private static final int RENEWALS_PER_LIST = 3;
+  private static final int RENEWALS_PER_LIST = 4;
 
   private final ProxyLease lease;
   private final PrimaryAccess access;
