Do not use positions from before a suspension of the machine

Cause: the age of a position is measured by the monotonic clock, which stands still while a machine is suspended. A read of bounded staleness that arrived after the wake-up could go to a replica with a position that was older than allowed.

--- a/serving/src/main/java/org/mimosacleat/serving/routing/TargetChooser.java
+++ b/serving/src/main/java/org/mimosacleat/serving/routing/TargetChooser.java
@@ -40,23 +40,27 @@
   private final EndpointPools pools;
   private final GroupStates groupStates;
   private final Predicate<GroupId> canUsePrimary;
+  private final SuspensionDetector suspensions;
   private final RandomGenerator random;
 
   /**
    * Creates a chooser.
    *
    * @param canUsePrimary whether this proxy may rely on its knowledge of a group's primary
+   * @param suspensions tells from when on the ages of positions are known
    */
   public TargetChooser(
       FleetState fleet,
       EndpointPools pools,
       GroupStates groupStates,
       Predicate<GroupId> canUsePrimary,
+      SuspensionDetector suspensions,
       RandomGenerator random) {
     this.fleet = fleet;
     this.pools = pools;
     this.groupStates = groupStates;
     this.canUsePrimary = canUsePrimary;
+    this.suspensions = suspensions;
     this.random = random;
   }
 
@@ -92,7 +96,8 @@
   private Target forAge(
       GroupId group, Position ownWrites, Instant oldest, Set<EndpointId> avoided) {
     GroupState state = groupStates.of(group);
-    Optional<Position> minimum = state.earliestPositionIncluding(oldest.plus(AGE_MARGIN));
+    Instant since = later(oldest.plus(AGE_MARGIN), suspensions.lastDetectedAt());
+    Optional<Position> minimum = state.earliestPositionIncluding(since);
     if (minimum.isEmpty()) {
       return forPrimary(group);
     }
@@ -102,6 +107,10 @@
         .orElseGet(() -> forPrimary(group));
   }
 
+  private static Instant later(Instant first, Instant second) {
+    return first.isAfter(second) ? first : second;
+  }
+
   /**
    * Returns the position that a read needs. A write of an earlier term is either in the log of the
    * present term or was lost with its primary, so any position of the present term covers it.
--- a/serving/src/test/java/org/mimosacleat/serving/ServingFixture.java
+++ b/serving/src/test/java/org/mimosacleat/serving/ServingFixture.java
@@ -1,6 +1,8 @@
 package org.mimosacleat.serving;
 
 import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -19,6 +21,7 @@
 import org.mimosacleat.serving.relay.Relay;
 import org.mimosacleat.serving.routing.GroupState;
 import org.mimosacleat.serving.routing.GroupStates;
+import org.mimosacleat.serving.routing.SuspensionDetector;
 import org.mimosacleat.serving.routing.TargetChooser;
 import org.mimosacleat.serving.session.Session;
 import org.mimosacleat.serving.session.Sessions;
@@ -37,8 +40,15 @@
 
   private static final Duration AGE = Duration.ofSeconds(2);
   private static final int CONNECTIONS = 40;
+  private static final Instant START = new PausedClock().instant();
 
   public final PausedClock clock = new PausedClock();
+
+  /** Runs with the other clock, unless a test advances it. */
+  public final PausedClock aheadBy = new PausedClock();
+
+  private final InstantSource wallClock =
+      () -> clock.instant().plus(Duration.between(START, aheadBy.instant()));
   public final FakeEndpoint primary = new FakeEndpoint("p", EndpointRole.PRIMARY, 1);
   public final FakeEndpoint replica = new FakeEndpoint("r", EndpointRole.REPLICA, 2);
   public final FleetState fleet = new FleetState();
@@ -49,7 +59,13 @@
   public final List<String> suspicions = new ArrayList<>();
   public boolean canUsePrimaries = true;
   public final TargetChooser chooser =
-      new TargetChooser(fleet, pools, groupStates, _ -> canUsePrimaries, new Random(1));
+      new TargetChooser(
+          fleet,
+          pools,
+          groupStates,
+          _ -> canUsePrimaries,
+          new SuspensionDetector(clock, wallClock),
+          new Random(1));
 
   public final Sessions sessions;
   private int statements;
--- a/serving/src/test/java/org/mimosacleat/serving/peer/FakeFleet.java
+++ b/serving/src/test/java/org/mimosacleat/serving/peer/FakeFleet.java
@@ -29,6 +29,7 @@
 import org.mimosacleat.serving.relay.RelayRequest;
 import org.mimosacleat.serving.relay.RelayResult;
 import org.mimosacleat.serving.routing.GroupStates;
+import org.mimosacleat.serving.routing.SuspensionDetector;
 import org.mimosacleat.serving.routing.TargetChooser;
 import org.mimosacleat.serving.session.RelayedStatements;
 import org.mimosacleat.serving.session.Sessions;
@@ -104,7 +105,9 @@
       fleet.applyIfNewer(configuration());
       pools.put(dialer.endpoint.entry());
       states.of(FakeEndpoint.GROUP).setPrimary(dialer.endpoint.id(), new Term(1));
-      TargetChooser chooser = new TargetChooser(fleet, pools, states, _ -> true, new Random(1));
+      TargetChooser chooser =
+          new TargetChooser(
+              fleet, pools, states, _ -> true, new SuspensionDetector(clock, clock), new Random(1));
       sessions =
           new Sessions(
               fleet,
--- a/serving/src/test/java/org/mimosacleat/serving/routing/TargetChooserTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/routing/TargetChooserTest.java
@@ -70,6 +70,18 @@
     assertInstanceOf(Target.Primary.class, choose(Position.NONE, Set.of()));
   }
 
+  /** Pattern: the machine was suspended, and its monotonic clock stood still. */
+  @Test
+  void positionKnownFromBeforeSuspensionIsNotUsed() {
+    proxy.aheadBy.advance(Duration.ofSeconds(4));
+
+    assertInstanceOf(Target.Primary.class, choose(Position.NONE, Set.of()));
+
+    proxy.clock.advance(Duration.ofMillis(1));
+    proxy.groupState().recordPosition(proxy.primary.id(), proxy.clock.instant(), at(1, 11));
+    assertInstanceOf(Target.AfterPosition.class, choose(Position.NONE, Set.of()));
+  }
+
   @Test
   void primaryIsNotUsedWhileProxyCannotUsePrimaries() {
     proxy.canUsePrimaries = false;
