Keep a relayed transaction on the connection on which it began

Cause, found by reading: a pinned gateway looked its connection up for each statement. If the gateway restarted in the middle of a transaction, later statements went to the new connection, began another transaction there, and a commit kept only these. Now a transaction holds the connection itself, and a gateway refuses a statement or commit of a transaction that it doesn't know. Two tests, the first failed before in that it committed.

--- a/serving/src/main/java/org/mimosacleat/serving/peer/PeerLink.java
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/PeerLink.java
@@ -24,7 +24,7 @@
 import org.mimosacleat.serving.promotion.PrimaryRecord;
 import org.mimosacleat.serving.promotion.RecordedPrimary;
 import org.mimosacleat.serving.promotion.StopRecord;
-import org.mimosacleat.serving.relay.Gateway;
+import org.mimosacleat.serving.relay.GatewayConnection;
 import org.mimosacleat.serving.relay.RelayRequest;
 import org.mimosacleat.serving.relay.RelayResult;
 import org.mimosacleat.wire.peer.PeerProtocolException;
@@ -34,7 +34,7 @@
  * The connection to a gateway. While requests wait for replies, the gateway has to show that it is
  * alive; the connection is closed if nothing arrives for a while.
  */
-final class PeerLink implements Gateway {
+final class PeerLink implements GatewayConnection {
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(250);
 
   /** A proxy that has just started may be slow to answer. */
--- a/serving/src/main/java/org/mimosacleat/serving/peer/PeerLinks.java
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/PeerLinks.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Function;
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.core.id.VmId;
 import org.mimosacleat.core.time.Sleeper;
@@ -22,9 +23,8 @@
 import org.mimosacleat.serving.promotion.RecordedPrimary;
 import org.mimosacleat.serving.promotion.StopRecord;
 import org.mimosacleat.serving.relay.Gateway;
+import org.mimosacleat.serving.relay.GatewayConnection;
 import org.mimosacleat.serving.relay.Relay;
-import org.mimosacleat.serving.relay.RelayRequest;
-import org.mimosacleat.serving.relay.RelayResult;
 import org.tinylog.Logger;
 
 /**
@@ -65,7 +65,7 @@
   public List<Gateway> gatewaysOf(GroupId group) {
     List<Gateway> gateways = new ArrayList<>();
     for (VmId vm : placement.gatewaysFor(group)) {
-      members.find(vm).ifPresent(member -> gateways.add(new LinkedGateway(member)));
+      members.find(vm).ifPresent(member -> gateways.add(() -> connectionTo(member)));
     }
     return gateways;
   }
@@ -107,6 +107,10 @@
     }
   }
 
+  private Optional<GatewayConnection> connectionTo(FleetMember member) {
+    return link(member).map(Function.identity());
+  }
+
   /** Returns the open connection to a proxy; if there is none, opens one in the background. */
   private Optional<PeerLink> link(FleetMember member) {
     Peer peer = peers.computeIfAbsent(member.vm(), _ -> new Peer());
@@ -159,28 +163,4 @@
       return current != null && current.takesWork();
     }
   }
-
-  /** A gateway that rejects requests while no connection to it is open. */
-  private final class LinkedGateway implements Gateway {
-    private final FleetMember member;
-
-    LinkedGateway(FleetMember member) {
-      this.member = member;
-    }
-
-    @Override
-    public RelayResult execute(RelayRequest request, Instant deadline) {
-      return link(member)
-          .map(link -> link.execute(request, deadline))
-          .orElseGet(() -> new RelayResult.NotRun("proxy " + member.vm() + " is unreachable"));
-    }
-
-    @Override
-    public void send(RelayRequest request) {
-      Peer peer = peers.get(member.vm());
-      if (peer != null && peer.link != null && peer.link.isOpen()) {
-        peer.link.send(request);
-      }
-    }
-  }
 }
--- a/serving/src/main/java/org/mimosacleat/serving/peer/RelayCodec.java
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/RelayCodec.java
@@ -52,11 +52,15 @@
         packWork(packer, context, statement);
       }
       case RelayRequest.RunInTransaction run -> {
-        packer.packInt(RUN_IN_TRANSACTION).packLong(run.transaction()).packBoolean(run.readOnly());
+        packer
+            .packInt(RUN_IN_TRANSACTION)
+            .packLong(run.transaction())
+            .packBoolean(run.first())
+            .packBoolean(run.readOnly());
         packWork(packer, run.context(), run.statement());
       }
       case RelayRequest.Commit commit -> {
-        packer.packInt(COMMIT).packLong(commit.transaction()).packBoolean(commit.readOnly());
+        packer.packInt(COMMIT).packLong(commit.transaction());
         packWork(packer, commit.context(), commit.statement());
       }
       case RelayRequest.RollBack(long transaction) ->
@@ -73,14 +77,12 @@
           new RelayRequest.RunInTransaction(
               unpacker.unpackLong(),
               unpacker.unpackBoolean(),
+              unpacker.unpackBoolean(),
               unpackContext(unpacker),
               unpackStatement(unpacker));
       case COMMIT ->
           new RelayRequest.Commit(
-              unpacker.unpackLong(),
-              unpacker.unpackBoolean(),
-              unpackContext(unpacker),
-              unpackStatement(unpacker));
+              unpacker.unpackLong(), unpackContext(unpacker), unpackStatement(unpacker));
       case ROLL_BACK -> new RelayRequest.RollBack(unpacker.unpackLong());
       default -> throw new PeerProtocolException("relayed request: unknown type " + type);
     };
--- a/serving/src/main/java/org/mimosacleat/serving/relay/Gateway.java
+++ b/serving/src/main/java/org/mimosacleat/serving/relay/Gateway.java
@@ -1,16 +1,10 @@
 package org.mimosacleat.serving.relay;
 
-import java.time.Instant;
+import java.util.Optional;
 
 /** Another proxy that runs statements for this one on its connections to endpoints. */
+@FunctionalInterface
 public interface Gateway {
-  /**
-   * Sends a request and waits for the reply.
-   *
-   * @param deadline until when to wait
-   */
-  RelayResult execute(RelayRequest request, Instant deadline);
-
-  /** Sends a request whose reply is not needed. */
-  void send(RelayRequest request);
+  /** Returns the connection to the proxy; empty if there is none that takes new work. */
+  Optional<GatewayConnection> connection();
 }
--- a/serving/src/main/java/org/mimosacleat/serving/relay/RelayRequest.java
+++ b/serving/src/main/java/org/mimosacleat/serving/relay/RelayRequest.java
@@ -13,27 +13,30 @@
   record RunStatement(RelayContext context, ForwardedStatement statement) implements RelayRequest {}
 
   /**
-   * Runs a statement in a transaction, which begins with its first statement.
+   * Runs a statement in a transaction.
    *
    * @param transaction the number of the transaction
+   * @param first whether the transaction begins with this statement
    * @param readOnly whether the client declared that it writes nothing
    * @param context the session and the route
    * @param statement the statement
    */
   record RunInTransaction(
-      long transaction, boolean readOnly, RelayContext context, ForwardedStatement statement)
+      long transaction,
+      boolean first,
+      boolean readOnly,
+      RelayContext context,
+      ForwardedStatement statement)
       implements RelayRequest {}
 
   /**
    * Commits a transaction.
    *
    * @param transaction the number of the transaction
-   * @param readOnly whether the client declared that it writes nothing
    * @param context the session and the route
    * @param statement the client's statement
    */
-  record Commit(
-      long transaction, boolean readOnly, RelayContext context, ForwardedStatement statement)
+  record Commit(long transaction, RelayContext context, ForwardedStatement statement)
       implements RelayRequest {}
 
   /**
--- a/serving/src/main/java/org/mimosacleat/serving/session/RelayedStatements.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/RelayedStatements.java
@@ -39,12 +39,13 @@
     return switch (request) {
       case RelayRequest.RunStatement run -> () -> runStatement(run);
       case RelayRequest.RunInTransaction run -> {
-        RelayedTransaction opened = find(run.transaction(), run.context(), run.readOnly());
-        yield () -> run(opened, run.context(), open -> open.run(run.statement()));
+        Optional<RelayedTransaction> open = run.first() ? Optional.of(begin(run)) : find(run);
+        yield () -> runInTransaction(open, run);
       }
       case RelayRequest.Commit commit -> {
-        RelayedTransaction opened = find(commit.transaction(), commit.context(), commit.readOnly());
-        yield () -> commit(opened, commit);
+        Optional<RelayedTransaction> open =
+            Optional.ofNullable(transactions.get(commit.transaction()));
+        yield () -> commit(open, commit);
       }
       case RelayRequest.RollBack(long number) -> () -> rollBack(number);
     };
@@ -82,13 +83,32 @@
     return new RelayReply(answer, state.lastWrite(context.route().group()));
   }
 
-  private RelayedTransaction find(long number, RelayContext context, boolean readOnly) {
-    return transactions.computeIfAbsent(number, _ -> open(context.route(), readOnly));
+  private RelayedTransaction begin(RelayRequest.RunInTransaction run) {
+    SessionState state = new SessionState();
+    Route route = run.context().route();
+    RelayedTransaction begun =
+        new RelayedTransaction(
+            state, new OpenTransaction(dependencies, state, route, run.readOnly()));
+    transactions.put(run.transaction(), begun);
+    return begun;
+  }
+
+  private Optional<RelayedTransaction> find(RelayRequest.RunInTransaction run) {
+    return Optional.ofNullable(transactions.get(run.transaction()));
+  }
+
+  private RelayReply runInTransaction(
+      Optional<RelayedTransaction> transaction, RelayRequest.RunInTransaction run) {
+    return transaction
+        .map(known -> run(known, run.context(), open -> open.run(run.statement())))
+        .orElseGet(() -> lost(run.context()));
   }
 
-  private RelayReply commit(RelayedTransaction transaction, RelayRequest.Commit commit) {
+  private RelayReply commit(Optional<RelayedTransaction> transaction, RelayRequest.Commit commit) {
     try {
-      return run(transaction, commit.context(), open -> open.commit(commit.statement()));
+      return transaction
+          .map(known -> run(known, commit.context(), open -> open.commit(commit.statement())))
+          .orElseGet(() -> lost(commit.context()));
     } finally {
       transactions.remove(commit.transaction());
     }
@@ -126,11 +146,6 @@
     return new RelayReply(Answer.done(TransactionStatus.IDLE), Position.NONE);
   }
 
-  private RelayedTransaction open(Route route, boolean readOnly) {
-    SessionState state = new SessionState();
-    return new RelayedTransaction(state, new OpenTransaction(dependencies, state, route, readOnly));
-  }
-
   private static RelayReply lost(RelayContext context) {
     Failure failure =
         new Failure(ErrorKind.TRANSACTION_LOST, "the transaction was rolled back by its proxy");
--- a/serving/src/main/java/org/mimosacleat/serving/session/RoutedStatements.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/RoutedStatements.java
@@ -8,6 +8,7 @@
 import org.mimosacleat.core.error.Failure;
 import org.mimosacleat.serving.fleet.Route;
 import org.mimosacleat.serving.relay.Gateway;
+import org.mimosacleat.serving.relay.GatewayConnection;
 import org.mimosacleat.serving.relay.RelayReply;
 import org.mimosacleat.serving.relay.RelayRequest;
 import org.mimosacleat.serving.relay.RelayResult;
@@ -50,8 +51,12 @@
   private Optional<Answer> runAtFirst(
       List<Gateway> gateways, ForwardedStatement statement, Route route, RelayTimes times) {
     for (Gateway gateway : gateways) {
+      Optional<GatewayConnection> connection = gateway.connection();
+      if (connection.isEmpty()) {
+        continue;
+      }
       RelayRequest request = new RelayRequest.RunStatement(times.context(session), statement);
-      switch (gateway.execute(request, times.replyDeadline())) {
+      switch (connection.get().execute(request, times.replyDeadline())) {
         case RelayResult.Replied(RelayReply reply) -> {
           session.recordWrite(route.group(), reply.lastWrite());
           return Optional.of(reply.answer());
--- a/serving/src/main/java/org/mimosacleat/serving/session/RoutedTransaction.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/RoutedTransaction.java
@@ -7,6 +7,7 @@
 import org.mimosacleat.core.error.Failure;
 import org.mimosacleat.serving.fleet.Route;
 import org.mimosacleat.serving.relay.Gateway;
+import org.mimosacleat.serving.relay.GatewayConnection;
 import org.mimosacleat.serving.relay.RelayReply;
 import org.mimosacleat.serving.relay.RelayRequest;
 import org.mimosacleat.serving.relay.RelayResult;
@@ -23,7 +24,7 @@
   private final Route route;
   private final boolean readOnly;
   private final long number;
-  private Gateway gateway;
+  private GatewayConnection gateway;
   private OpenTransaction own;
   private boolean wrote;
   private boolean failed;
@@ -62,7 +63,8 @@
       return begin(statement, times);
     }
     RelayRequest request =
-        new RelayRequest.RunInTransaction(number, readOnly, times.context(session), statement);
+        new RelayRequest.RunInTransaction(
+            number, false, readOnly, times.context(session), statement);
     return switch (gateway.execute(request, times.replyDeadline())) {
       case RelayResult.Replied(RelayReply reply) -> reply.answer();
       case RelayResult.NotRun(String reason) -> lose(reason);
@@ -89,17 +91,22 @@
   private Optional<Answer> beginAtFirst(
       List<Gateway> gateways, ForwardedStatement statement, RelayTimes times) {
     for (Gateway candidate : gateways) {
+      Optional<GatewayConnection> connection = candidate.connection();
+      if (connection.isEmpty()) {
+        continue;
+      }
       RelayRequest request =
-          new RelayRequest.RunInTransaction(number, readOnly, times.context(session), statement);
-      switch (candidate.execute(request, times.replyDeadline())) {
+          new RelayRequest.RunInTransaction(
+              number, true, readOnly, times.context(session), statement);
+      switch (connection.get().execute(request, times.replyDeadline())) {
         case RelayResult.Replied(RelayReply reply) -> {
-          gateway = candidate;
+          gateway = connection.get();
           return Optional.of(reply.answer());
         }
         case RelayResult.NotRun _ -> {
           // The next gateway is tried.
         }
-        case RelayResult.Unknown _ -> candidate.send(new RelayRequest.RollBack(number));
+        case RelayResult.Unknown _ -> connection.get().send(new RelayRequest.RollBack(number));
       }
       if (times.isTooLateForAnother()) {
         String detail = "no gateway of " + route.group() + " replied in time";
@@ -118,8 +125,7 @@
       return own.commit(statement);
     }
     RelayTimes times = newTimes();
-    RelayRequest request =
-        new RelayRequest.Commit(number, readOnly, times.context(session), statement);
+    RelayRequest request = new RelayRequest.Commit(number, times.context(session), statement);
     return switch (gateway.execute(request, times.replyDeadline())) {
       case RelayResult.Replied(RelayReply reply) -> {
         session.recordWrite(route.group(), reply.lastWrite());
--- a/serving/src/test/java/org/mimosacleat/serving/peer/FakeFleet.java
+++ b/serving/src/test/java/org/mimosacleat/serving/peer/FakeFleet.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import org.mimosacleat.core.id.GroupId;
@@ -25,6 +26,7 @@
 import org.mimosacleat.serving.fleet.ReadConsistency;
 import org.mimosacleat.serving.fleet.Route;
 import org.mimosacleat.serving.relay.Gateway;
+import org.mimosacleat.serving.relay.GatewayConnection;
 import org.mimosacleat.serving.relay.Relay;
 import org.mimosacleat.serving.relay.RelayRequest;
 import org.mimosacleat.serving.relay.RelayResult;
@@ -138,13 +140,13 @@
     private List<Gateway> aliveGatewaysOf(GroupId group) {
       return placement.gatewaysFor(group).stream()
           .filter(vm -> !dead.contains(vm))
-          .<Gateway>map(vm -> new MemoryGateway(proxies.get(vm)))
+          .<Gateway>map(vm -> () -> Optional.of(new MemoryConnection(proxies.get(vm))))
           .toList();
     }
   }
 
   /** Runs requests at another proxy of the fleet. */
-  private record MemoryGateway(FakeProxy proxy) implements Gateway {
+  private record MemoryConnection(FakeProxy proxy) implements GatewayConnection {
     @Override
     public RelayResult execute(RelayRequest request, Instant deadline) {
       return new RelayResult.Replied(proxy.relayed.register(request).get());
--- a/serving/src/test/java/org/mimosacleat/serving/peer/RelayCodecTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/peer/RelayCodecTest.java
@@ -61,6 +61,8 @@
             new PeerFrame.StopPrimary(8, claim()),
             new PeerFrame.Stopped(8, true),
             new PeerFrame.Request(5, new RelayRequest.RollBack(9)),
+            new PeerFrame.Request(6, new RelayRequest.Commit(9, context(), plain)),
+            new PeerFrame.Request(7, new RelayRequest.RunStatement(context(), plain)),
             request(new ReadConsistency.Latest(), plain),
             request(new ReadConsistency.BoundedStaleness(Duration.ofMillis(1_500)), prepared),
             request(new ReadConsistency.ReadYourWrites(Duration.ofMillis(2_500)), prepared),
@@ -93,6 +95,15 @@
   }
 
   private static PeerFrame request(ReadConsistency consistency, ForwardedStatement statement) {
+    return new PeerFrame.Request(
+        1, new RelayRequest.RunInTransaction(2, true, false, context(consistency), statement));
+  }
+
+  private static RelayContext context() {
+    return context(new ReadConsistency.Latest());
+  }
+
+  private static RelayContext context(ReadConsistency consistency) {
     Route route =
         new Route(
             new DatabaseName("lepu270"),
@@ -101,9 +112,7 @@
             Duration.ofMillis(1_000),
             Duration.ofMillis(200),
             1);
-    RelayContext context =
-        new RelayContext(route, Map.of("zone", "nz"), POSITION, Duration.ofMillis(3));
-    return new PeerFrame.Request(1, new RelayRequest.Commit(2, true, context, statement));
+    return new RelayContext(route, Map.of("zone", "nz"), POSITION, Duration.ofMillis(3));
   }
 
   private static Answer success() {
--- a/serving/src/test/java/org/mimosacleat/serving/relay/FakeGateway.java
+++ b/serving/src/test/java/org/mimosacleat/serving/relay/FakeGateway.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.mimosacleat.serving.ServingFixture;
 import org.mimosacleat.serving.session.RelayedStatements;
 
@@ -17,27 +18,39 @@
   /** Runs requests, but loses the replies. */
   public boolean losesReplies;
 
-  private RelayedStatements statements = proxy.sessions.openRelayed();
+  private FakeConnection connection = new FakeConnection();
 
   @Override
-  public RelayResult execute(RelayRequest request, Instant deadline) {
-    requests.add(request);
-    if (leaving) {
-      return new RelayResult.NotRun("leaving");
-    }
-    RelayReply reply = statements.register(request).get();
-    return losesReplies ? new RelayResult.Unknown("lost") : new RelayResult.Replied(reply);
-  }
-
-  @Override
-  public void send(RelayRequest request) {
-    requests.add(request);
-    statements.register(request).get();
+  public Optional<GatewayConnection> connection() {
+    return Optional.of(connection);
   }
 
   /** Ends the connection and accepts a new one. */
   public void reconnect() {
-    statements.close();
-    statements = proxy.sessions.openRelayed();
+    connection.statements.close();
+    connection.open = false;
+    connection = new FakeConnection();
+  }
+
+  /** One connection. */
+  private final class FakeConnection implements GatewayConnection {
+    private final RelayedStatements statements = proxy.sessions.openRelayed();
+    private boolean open = true;
+
+    @Override
+    public RelayResult execute(RelayRequest request, Instant deadline) {
+      requests.add(request);
+      if (leaving || !open) {
+        return new RelayResult.NotRun("not run");
+      }
+      RelayReply reply = statements.register(request).get();
+      return losesReplies ? new RelayResult.Unknown("lost") : new RelayResult.Replied(reply);
+    }
+
+    @Override
+    public void send(RelayRequest request) {
+      requests.add(request);
+      statements.register(request).get();
+    }
   }
 }
--- a/serving/src/test/java/org/mimosacleat/serving/relay/RelayTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/relay/RelayTest.java
@@ -1,15 +1,22 @@
 package org.mimosacleat.serving.relay;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.time.Duration;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.mimosacleat.core.connection.TransactionStatus;
 import org.mimosacleat.core.error.ErrorKind;
+import org.mimosacleat.core.position.Position;
 import org.mimosacleat.serving.ServingFixture;
 import org.mimosacleat.serving.session.Session;
 import org.mimosacleat.serving.statement.Answer;
+import org.mimosacleat.serving.statement.ForwardedStatement;
+import org.mimosacleat.serving.statement.StatementId;
 
 class RelayTest {
   private final FakeGateway first = new FakeGateway();
@@ -124,6 +131,44 @@
     assertTrue(proxy.commit(session).hasFailed(ErrorKind.TRANSACTION_LOST));
   }
 
+  /** Pattern: the gateway restarts in the middle of a transaction, and a new connection is open. */
+  @Test
+  void transactionDoesNotContinueOnNewConnection() {
+    Session session = proxy.session(ServingFixture.LATEST);
+    proxy.begin(session, false);
+    proxy.write(session);
+    first.reconnect();
+
+    assertTrue(proxy.write(session).hasFailed(ErrorKind.TRANSACTION_LOST));
+    assertTrue(proxy.commit(session).hasFailed(ErrorKind.TRANSACTION_LOST));
+
+    assertFalse(first.proxy.primary.ran.contains("in transaction: COMMIT"));
+  }
+
+  @Test
+  void statementOfUnknownTransactionIsNotRun() {
+    RelayContext context =
+        new RelayContext(
+            proxy.fleet.snapshot().configuration().get().route(ServingFixture.LATEST).get(),
+            Map.of(),
+            Position.NONE,
+            Duration.ZERO);
+    ForwardedStatement write =
+        new ForwardedStatement(new StatementId("w"), "WRITE a 1", true, Optional.empty(), "");
+
+    RelayResult result =
+        first
+            .connection()
+            .get()
+            .execute(
+                new RelayRequest.RunInTransaction(7, false, false, context, write),
+                proxy.clock.instant());
+
+    Answer answer = ((RelayResult.Replied) result).reply().answer();
+    assertTrue(answer.hasFailed(ErrorKind.TRANSACTION_LOST));
+    assertEquals(List.of(), first.proxy.primary.ran);
+  }
+
   @Test
   void commitWithoutReplyIsUncertain() {
     Session session = proxy.session(ServingFixture.LATEST);
