--- a/serving/src/main/java/org/mimosacleat/serving/promotion/FailoverDependencies.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/FailoverDependencies.java
@@ -1,13 +1,17 @@
 package org.mimosacleat.serving.promotion;
 
+import java.time.Duration;
 import java.time.InstantSource;
+import java.util.Optional;
 import java.util.concurrent.ExecutorService;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
+import org.mimosacleat.core.id.EndpointId;
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.core.id.VmId;
 import org.mimosacleat.core.time.Sleeper;
 import org.mimosacleat.serving.endpoint.EndpointPools;
+import org.mimosacleat.serving.fleet.EndpointEntry;
 import org.mimosacleat.serving.fleet.FleetState;
 import org.mimosacleat.serving.routing.GroupStates;
 
@@ -45,4 +49,14 @@
     ExecutorService executor,
     InstantSource clock,
     RandomGenerator random,
-    Sleeper sleeper) {}
+    Sleeper sleeper) {
+  /** Waits for a random time, so that proxies which see the same do not act at once. */
+  void sleepRandomly(Duration maxDelay) {
+    sleeper.sleep(Duration.ofNanos(random.nextLong(maxDelay.toNanos())));
+  }
+
+  /** Returns the entry of an endpoint that is listed. */
+  Optional<EndpointEntry> findEndpoint(EndpointId id) {
+    return Optional.ofNullable(fleet.snapshot().endpoints().get(id));
+  }
+}
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/GroupFailoverController.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/GroupFailoverController.java
@@ -13,7 +13,6 @@
 import org.mimosacleat.core.id.EndpointId;
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.core.position.Term;
-import org.mimosacleat.serving.endpoint.EndpointPool;
 import org.mimosacleat.serving.fleet.EndpointEntry;
 import org.mimosacleat.serving.fleet.EndpointRole;
 import org.mimosacleat.serving.routing.GroupState;
@@ -34,15 +33,11 @@
   private static final Duration TAKEOVER_TIMEOUT = Duration.ofMillis(3_000);
 
   private static final Duration MAX_START_DELAY = Duration.ofMillis(120);
-  private static final Duration MAX_FIRST_RECORD_DELAY = Duration.ofMillis(1_500);
   private static final Duration MAX_DELAY_AFTER_FAILURE = Duration.ofMillis(600);
   private static final Duration PROBE_INTERVAL = Duration.ofMillis(150);
   private static final Duration MAX_PROBE_INTERVAL_OVERRUN = Duration.ofMillis(60);
   private static final int FAILED_PROBES_BEFORE_REPLACEMENT = 2;
 
-  /** How long the other proxies leave the replacement of a primary to the gateways. */
-  private static final Duration GATEWAY_ACTION_TIMEOUT = Duration.ofMillis(2_500);
-
   /** How long a group without a listed primary waits for one before a replacement starts. */
   private static final Duration NO_PRIMARY_TIMEOUT = Duration.ofMillis(2_500);
 
@@ -50,13 +45,14 @@
   private final FailoverDependencies dependencies;
   private final GroupState state;
   private final EndpointStatusPoller statusPoller;
+  private final FirstRecordWriter firstRecord;
+  private final PrimaryTrouble trouble;
+  private final PrimaryStop stop;
   private final LinkedBlockingQueue<Optional<String>> pendingEvaluations =
       new LinkedBlockingQueue<>();
-  private long lastStoppedRound;
   private long lastSeenVersion;
   private Instant lastSeenVersionAt;
   private Instant primaryLastListedAt;
-  private Instant troubleSince = Instant.MAX;
 
   GroupFailoverController(GroupId group, FailoverDependencies dependencies) {
     this.group = group;
@@ -64,6 +60,9 @@
     this.state = dependencies.groupStates().of(group);
     this.statusPoller =
         new EndpointStatusPoller(dependencies.administration(), dependencies.executor());
+    this.firstRecord = new FirstRecordWriter(group, dependencies);
+    this.trouble = new PrimaryTrouble(group, dependencies);
+    this.stop = new PrimaryStop(group, dependencies);
     this.lastSeenVersionAt = dependencies.clock().instant();
     this.primaryLastListedAt = dependencies.clock().instant();
   }
@@ -99,9 +98,7 @@
   void evaluate(Optional<String> reason) {
     Optional<RecordedPrimary> latest = dependencies.records().find(group);
     if (latest.isEmpty()) {
-      if (dependencies.isGateway().test(group)) {
-        writeFirstRecord();
-      }
+      firstRecord.writeIfGateway();
       return;
     }
     RecordedPrimary recorded = latest.get();
@@ -116,29 +113,6 @@
     }
   }
 
-  /** Writes the first record of the group once an endpoint reports itself as primary. */
-  private void writeFirstRecord() {
-    Optional<EndpointEntry> reported = state.lastPrimary().flatMap(this::findEndpoint);
-    if (reported.isEmpty()) {
-      return;
-    }
-    sleepRandomly(MAX_FIRST_RECORD_DELAY);
-    if (dependencies.records().find(group).isPresent()) {
-      return;
-    }
-    Either<Failure, EndpointStatus> status = dependencies.administration().status(reported.get());
-    if (status.isLeft() || status.get().role() != EndpointRole.PRIMARY) {
-      return;
-    }
-    PrimaryRecord first =
-        new PrimaryRecord(
-            group, Optional.of(reported.get().id()), status.get().term(), 0, Optional.empty());
-    dependencies
-        .sharedRecords()
-        .writePrimary(first, RecordedPrimary.ABSENT)
-        .peek(version -> dependencies.records().put(new RecordedPrimary(first, version)));
-  }
-
   private void checkPrimary(RecordedPrimary recorded, Optional<String> reason) {
     PrimaryRecord record = recorded.record();
     Optional<EndpointId> usedBefore = state.primary();
@@ -150,15 +124,14 @@
       checkLaterTerm(recorded, reason);
       return;
     }
-    if (!hasTrouble(record, reason)) {
-      troubleSince = Instant.MAX;
+    if (!trouble.isSeen(record, reason)) {
       primaryLastListedAt = dependencies.clock().instant();
       return;
     }
-    if (!isWatching()) {
+    if (!trouble.isForThisProxy()) {
       return;
     }
-    Optional<EndpointEntry> primary = record.primary().flatMap(this::findEndpoint);
+    Optional<EndpointEntry> primary = record.primary().flatMap(dependencies::findEndpoint);
     if (primary.isEmpty()) {
       replaceUnlistedPrimary(recorded);
       return;
@@ -172,35 +145,12 @@
   }
 
   private void replaceDrainingPrimary(RecordedPrimary recorded, EndpointEntry primary) {
-    sleepRandomly(MAX_START_DELAY);
+    dependencies.sleepRandomly(MAX_START_DELAY);
     if (!hasChanged(recorded) && canReachAnotherEndpoint(primary.id())) {
       startReplacement(recorded, true, "the primary is draining");
     }
   }
 
-  /** Returns whether the primary drains, is not listed, or is suspected to be unreachable. */
-  private boolean hasTrouble(PrimaryRecord record, Optional<String> reason) {
-    Optional<EndpointEntry> primary = record.primary().flatMap(this::findEndpoint);
-    return primary.isEmpty()
-        || primary.get().draining()
-        || reason.isPresent()
-        || dependencies
-            .pools()
-            .find(primary.get().id())
-            .map(pool -> pool.health().isSuspect())
-            .orElse(false);
-  }
-
-  /** Returns whether this proxy is to act: as a gateway of the group, or if no gateway has. */
-  private boolean isWatching() {
-    Instant now = dependencies.clock().instant();
-    if (troubleSince.equals(Instant.MAX)) {
-      troubleSince = now;
-    }
-    return dependencies.isGateway().test(group)
-        || Duration.between(troubleSince, now).compareTo(GATEWAY_ACTION_TIMEOUT) > 0;
-  }
-
   /**
    * Sleeps for the probe interval and returns whether that took much longer than requested. A proxy
    * that gets no CPU time would otherwise mistake its own delay for an unresponsive primary.
@@ -295,7 +245,7 @@
   }
 
   private void startReplacement(RecordedPrimary recorded, boolean planned, String reason) {
-    sleepRandomly(MAX_START_DELAY);
+    dependencies.sleepRandomly(MAX_START_DELAY);
     if (hasChanged(recorded)) {
       return;
     }
@@ -307,7 +257,7 @@
         planned,
         reason);
     if (!new PrimaryReplacement(dependencies, recorded).run(planned)) {
-      sleepRandomly(MAX_DELAY_AFTER_FAILURE);
+      dependencies.sleepRandomly(MAX_DELAY_AFTER_FAILURE);
     }
   }
 
@@ -315,15 +265,14 @@
     PrimaryRecord record = recorded.record();
     recorded.applyTo(state);
     Replacement replacement = record.replacement().orElseThrow();
-    boolean mayUsePrimary = dependencies.access().mayBeRecorded(group);
-    if (mayUsePrimary && !replacement.planned() && lastStoppedRound != record.round()) {
-      stopUsingPrimary(record);
+    if (!replacement.planned() && !stop.stopAndRecord(record)) {
+      wake();
     }
     boolean stalled =
         Duration.between(lastSeenVersionAt, dependencies.clock().instant())
                 .compareTo(TAKEOVER_TIMEOUT)
             > 0;
-    if (stalled && isWatching()) {
+    if (stalled && trouble.isForThisProxy()) {
       startReplacement(
           recorded,
           replacement.planned(),
@@ -331,28 +280,6 @@
     }
   }
 
-  /** Fences the primary or, if that fails, abandons its connections; then records the stop. */
-  private void stopUsingPrimary(PrimaryRecord record) {
-    boolean fenced = fenceOrAbandon(record);
-    StopRecord stop = new StopRecord(group, dependencies.self(), record.round(), fenced);
-    dependencies
-        .sharedRecords()
-        .writeStop(stop)
-        .peek(_ -> lastStoppedRound = record.round())
-        .peekLeft(
-            failure ->
-                Logger.warn(
-                    "{}: could not record the stop for round {}: {}; retrying",
-                    group,
-                    record.round(),
-                    failure));
-    Logger.info(
-        "{}: stopped using the primary of term {}, fenced: {}", group, record.term(), fenced);
-    if (lastStoppedRound != record.round()) {
-      wake();
-    }
-  }
-
   /**
    * Stops using the primary that a claim replaces; called by the request of another proxy.
    *
@@ -360,24 +287,7 @@
    */
   boolean stopUsingPrimaryNow(RecordedPrimary claim) {
     claim.applyTo(state);
-    return fenceOrAbandon(claim.record());
-  }
-
-  private boolean fenceOrAbandon(PrimaryRecord record) {
-    boolean fenced = fence(record);
-    if (!fenced) {
-      record.primary().flatMap(dependencies.pools()::find).ifPresent(EndpointPool::closeAll);
-    }
-    return fenced;
-  }
-
-  private boolean fence(PrimaryRecord record) {
-    Term next = record.term().next();
-    return record
-        .primary()
-        .flatMap(this::findEndpoint)
-        .flatMap(entry -> dependencies.administration().fence(entry, next))
-        .isPresent();
+    return stop.fenceOrAbandon(claim.record());
   }
 
   private boolean hasChanged(RecordedPrimary recorded) {
@@ -387,14 +297,4 @@
         .filter(latest -> latest.version() == recorded.version())
         .isEmpty();
   }
-
-  private Optional<EndpointEntry> findEndpoint(EndpointId id) {
-    return Optional.ofNullable(dependencies.fleet().snapshot().endpoints().get(id));
-  }
-
-  private void sleepRandomly(Duration maxDelay) {
-    dependencies
-        .sleeper()
-        .sleep(Duration.ofNanos(dependencies.random().nextLong(maxDelay.toNanos())));
-  }
 }
--- /dev/null
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryStop.java
@@ -0,0 +1,64 @@
+package org.mimosacleat.serving.promotion;
+
+import org.mimosacleat.core.id.GroupId;
+import org.mimosacleat.core.position.Term;
+import org.mimosacleat.serving.endpoint.EndpointPool;
+import org.tinylog.Logger;
+
+/** Stops this proxy's use of a primary that is being replaced. */
+final class PrimaryStop {
+  private final GroupId group;
+  private final FailoverDependencies dependencies;
+  private long lastStoppedRound;
+
+  PrimaryStop(GroupId group, FailoverDependencies dependencies) {
+    this.group = group;
+    this.dependencies = dependencies;
+  }
+
+  /**
+   * Stops using the primary of a record, once in each round, if this proxy may use it; then records
+   * that in the store.
+   *
+   * @return false if the stop could not be recorded, so that it has to be tried again
+   */
+  boolean stopAndRecord(PrimaryRecord record) {
+    if (!dependencies.access().mayBeRecorded(group) || lastStoppedRound == record.round()) {
+      return true;
+    }
+    boolean fenced = fenceOrAbandon(record);
+    StopRecord stop = new StopRecord(group, dependencies.self(), record.round(), fenced);
+    dependencies
+        .sharedRecords()
+        .writeStop(stop)
+        .peek(_ -> lastStoppedRound = record.round())
+        .peekLeft(
+            failure ->
+                Logger.warn(
+                    "{}: could not record the stop for round {}: {}; retrying",
+                    group,
+                    record.round(),
+                    failure));
+    Logger.info(
+        "{}: stopped using the primary of term {}, fenced: {}", group, record.term(), fenced);
+    return lastStoppedRound == record.round();
+  }
+
+  /** Fences the primary; if that fails, closes all connections to it. Returns whether fenced. */
+  boolean fenceOrAbandon(PrimaryRecord record) {
+    boolean fenced = fence(record);
+    if (!fenced) {
+      record.primary().flatMap(dependencies.pools()::find).ifPresent(EndpointPool::closeAll);
+    }
+    return fenced;
+  }
+
+  private boolean fence(PrimaryRecord record) {
+    Term next = record.term().next();
+    return record
+        .primary()
+        .flatMap(dependencies::findEndpoint)
+        .flatMap(entry -> dependencies.administration().fence(entry, next))
+        .isPresent();
+  }
+}
