--- /dev/null
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/TurnTakingRecords.java
@@ -0,0 +1,74 @@
+package org.mimosacleat.serving.promotion;
+
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.concurrent.Semaphore;
+import java.util.function.Supplier;
+import org.mimosacleat.core.id.GroupId;
+import org.mimosacleat.core.id.VmId;
+
+/** Lets one proxy make its next call to the shared records only when it is given the turn. */
+final class TurnTakingRecords implements SharedRecords {
+  private final SharedRecords records;
+  private final Semaphore turns = new Semaphore(0);
+  private final Semaphore done = new Semaphore(0);
+
+  TurnTakingRecords(SharedRecords records) {
+    this.records = records;
+  }
+
+  /** Lets the proxy make one call and waits until it is made. */
+  void giveTurn() {
+    turns.release();
+    done.acquireUninterruptibly();
+  }
+
+  /** Ends the wait of {@link #giveTurn} for a proxy that makes no further call. */
+  void finish() {
+    done.release(Integer.MAX_VALUE / 2);
+  }
+
+  private <T> T call(Supplier<T> work) {
+    turns.acquireUninterruptibly();
+    try {
+      return work.get();
+    } finally {
+      done.release();
+    }
+  }
+
+  @Override
+  public Either<RecordFailure, Long> writePrimary(PrimaryRecord record, long expectedVersion) {
+    return call(() -> records.writePrimary(record, expectedVersion));
+  }
+
+  @Override
+  public Either<RecordFailure, List<RecordedPrimary>> readPrimaries() {
+    return call(records::readPrimaries);
+  }
+
+  @Override
+  public Either<RecordFailure, Long> writeStop(StopRecord stop) {
+    return call(() -> records.writeStop(stop));
+  }
+
+  @Override
+  public Either<RecordFailure, List<StopRecord>> readStops(GroupId group) {
+    return call(() -> records.readStops(group));
+  }
+
+  @Override
+  public Either<RecordFailure, Long> renewProxy(ProxyRecord proxy, long expectedVersion) {
+    return call(() -> records.renewProxy(proxy, expectedVersion));
+  }
+
+  @Override
+  public Either<RecordFailure, Long> removeProxy(VmId proxy, long expectedVersion) {
+    return call(() -> records.removeProxy(proxy, expectedVersion));
+  }
+
+  @Override
+  public Either<RecordFailure, ProxyList> readProxies() {
+    return call(records::readProxies);
+  }
+}
