Shorten the failover of a dark primary

A gateway now confirms after 0.12 s and goes on fencing beside it; the other endpoints are polled once and without the primary. Test: a primary that does not answer.

--- a/serving/src/main/java/org/mimosacleat/serving/promotion/GroupFailoverController.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/GroupFailoverController.java
@@ -121,7 +121,8 @@
       dependencies.fleet().notifyWaiters();
     }
     if (state.term().isAfter(record.term())) {
-      checkLaterTerm(recorded, reason);
+      // An endpoint has reported a later term than the newest record received so far.
+      reason.ifPresent(_ -> usePrimaryOfLaterTerm(pollAll(), record.term()));
       return;
     }
     if (!trouble.isSeen(record, reason)) {
@@ -146,7 +147,7 @@
 
   private void replaceDrainingPrimary(RecordedPrimary recorded, EndpointEntry primary) {
     dependencies.sleepRandomly(MAX_START_DELAY);
-    if (!hasChanged(recorded) && canReachAnotherEndpoint(primary.id())) {
+    if (!hasChanged(recorded) && !pollOthers(primary.id()).isEmpty()) {
       startReplacement(recorded, true, "the primary is draining");
     }
   }
@@ -162,21 +163,18 @@
     return waited.minus(PROBE_INTERVAL).compareTo(MAX_PROBE_INTERVAL_OVERRUN) > 0;
   }
 
-  /** Handles endpoints that reported a later term than the newest record received so far. */
-  private void checkLaterTerm(RecordedPrimary recorded, Optional<String> reason) {
-    if (reason.isPresent()) {
-      usePrimaryOfLaterTerm(recorded.record().term());
-    }
+  private List<Candidate> pollAll() {
+    return statusPoller.poll(dependencies.fleet().snapshot().endpointsOf(group));
   }
 
   /**
-   * Polls all endpoints and uses the primary of the latest term above {@code recordedTerm}.
+   * Uses the primary of the latest term above {@code recordedTerm} among these.
    *
    * @return whether there is one
    */
-  private boolean usePrimaryOfLaterTerm(Term recordedTerm) {
+  private boolean usePrimaryOfLaterTerm(List<Candidate> candidates, Term recordedTerm) {
     Optional<Candidate> newPrimary =
-        statusPoller.poll(dependencies.fleet().snapshot().endpointsOf(group)).stream()
+        candidates.stream()
             .filter(candidate -> candidate.isPrimaryOfLaterTerm(recordedTerm))
             .max(Comparator.comparing(candidate -> candidate.status().term()));
     newPrimary.ifPresent(
@@ -215,7 +213,7 @@
         return;
       }
       if (status.isRight()) {
-        if (!usePrimaryOfLaterTerm(recorded.record().term())) {
+        if (!usePrimaryOfLaterTerm(pollAll(), recorded.record().term())) {
           startReplacement(recorded, true, "the primary reports itself as replica");
         }
         return;
@@ -225,10 +223,11 @@
         return;
       }
     }
-    if (usePrimaryOfLaterTerm(recorded.record().term())) {
+    List<Candidate> others = pollOthers(primary.id());
+    if (usePrimaryOfLaterTerm(others, recorded.record().term())) {
       return;
     }
-    if (!canReachAnotherEndpoint(primary.id())) {
+    if (others.isEmpty()) {
       Logger.warn(
           "{}: no endpoint can be reached, the primary included; starting no replacement", group);
       return;
@@ -236,12 +235,13 @@
     startReplacement(recorded, false, "the primary " + primary.id() + " is unreachable: " + reason);
   }
 
-  private boolean canReachAnotherEndpoint(EndpointId primary) {
+  /** Returns the endpoints other than the primary that answer. */
+  private List<Candidate> pollOthers(EndpointId primary) {
     List<EndpointEntry> others =
         dependencies.fleet().snapshot().endpointsOf(group).stream()
             .filter(entry -> !entry.id().equals(primary))
             .toList();
-    return !statusPoller.poll(others).isEmpty();
+    return statusPoller.poll(others);
   }
 
   private void startReplacement(RecordedPrimary recorded, boolean planned, String reason) {
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryStop.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryStop.java
@@ -1,5 +1,10 @@
 package org.mimosacleat.serving.promotion;
 
+import java.time.Duration;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.core.position.Term;
 import org.mimosacleat.serving.endpoint.EndpointPool;
@@ -7,6 +12,9 @@
 
 /** Stops this proxy's use of a primary that is being replaced. */
 final class PrimaryStop {
+  /** Longer than a new connection and an answer take. */
+  private static final Duration MAX_FENCING_WAIT = Duration.ofMillis(120);
+
   private final GroupId group;
   private final FailoverDependencies dependencies;
   private long lastStoppedRound;
@@ -44,15 +52,35 @@
     return lastStoppedRound == record.round();
   }
 
-  /** Fences the primary; if that fails, closes all connections to it. Returns whether fenced. */
+  /**
+   * Fences the primary; if that takes long or fails, closes all connections to it. The replacement
+   * waits for this proxy, so a primary that can't be reached must not delay it; a fence that
+   * succeeds later does no harm.
+   *
+   * @return whether the primary was fenced
+   */
   boolean fenceOrAbandon(PrimaryRecord record) {
-    boolean fenced = fence(record);
+    Future<Boolean> fencing = dependencies.executor().submit(() -> fence(record));
+    boolean fenced = isDoneInTime(fencing);
     if (!fenced) {
       record.primary().flatMap(dependencies.pools()::find).ifPresent(EndpointPool::closeAll);
     }
     return fenced;
   }
 
+  private boolean isDoneInTime(Future<Boolean> fencing) {
+    try {
+      return fencing.get(MAX_FENCING_WAIT.toMillis(), TimeUnit.MILLISECONDS);
+    } catch (TimeoutException slow) {
+      return false;
+    } catch (ExecutionException failed) {
+      throw new IllegalStateException("fencing a primary failed unexpectedly", failed);
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
+  }
+
   private boolean fence(PrimaryRecord record) {
     Term next = record.term().next();
     return record
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/FakeGroup.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/FakeGroup.java
@@ -5,6 +5,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import org.mimosacleat.core.error.ErrorKind;
 import org.mimosacleat.core.error.Failure;
@@ -23,6 +24,10 @@
   final List<FakeEndpoint> endpoints;
   PeerStops peers = PeerStops.NONE;
   Runnable promotionListener = () -> {};
+
+  /** Demotions wait for it. */
+  CountDownLatch demotionStart = new CountDownLatch(0);
+
   final List<String> requests = new CopyOnWriteArrayList<>();
 
   FakeGroup(List<FakeEndpoint> endpoints) {
@@ -73,6 +78,7 @@
 
   @Override
   public Either<Failure, EndpointStatus> demote(EndpointEntry entry, Term term) {
+    await(demotionStart);
     FakeEndpoint endpoint = find(entry.id());
     if (endpoint.reachable && term.isAfter(endpoint.term)) {
       endpoint.role = EndpointRole.REPLICA;
@@ -91,6 +97,14 @@
     return Result.TAKEN;
   }
 
+  private static void await(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private FakeEndpoint find(EndpointId id) {
     return endpoints.stream().filter(known -> known.id().equals(id)).findFirst().orElseThrow();
   }
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/GroupFailoverControllerTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/GroupFailoverControllerTest.java
@@ -1,17 +1,20 @@
 package org.mimosacleat.serving.promotion;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.mimosacleat.core.id.EndpointId;
 import org.mimosacleat.core.id.VmId;
 import org.mimosacleat.core.position.Term;
@@ -75,6 +78,20 @@
     assertEquals(List.of(), group.requests);
   }
 
+  /** Pattern: the primary is dark, and all its gateways have to confirm that they stopped. */
+  @Test
+  @Timeout(5)
+  void stopDoesNotWaitForPrimaryThatDoesNotAnswer() {
+    group.demotionStart = new CountDownLatch(1);
+    PrimaryRecord claim =
+        shared.primary.orElseThrow().record().withReplacement(new Replacement(SELF, false));
+
+    assertFalse(controller.stopUsingPrimaryNow(new RecordedPrimary(claim, Long.MAX_VALUE)));
+
+    assertEquals(Optional.empty(), proxy.groupState().primary());
+    group.demotionStart.countDown();
+  }
+
   @Test
   void proxyThatReachesNoEndpointReplacesNothing() {
     proxy.primary.reachable = false;
