--- a/serving/src/main/java/org/mimosacleat/serving/peer/GatewayPlacement.java
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/GatewayPlacement.java
@@ -62,20 +62,23 @@
     if (isGateway(group)) {
       return List.of();
     }
-    VmId self = members.self().vm();
-    List<VmId> all = rotated(group, gatewaysIn(members.self().zone(), group));
-    all.addAll(reserveFor(group));
+    List<VmId> all = new ArrayList<>(nearGatewaysFor(group));
     List<VmId> distant = new ArrayList<>();
     otherZones().forEach(zone -> distant.addAll(gatewaysIn(zone, group)));
     List<VmId> ordered = rotated(group, distant);
     all.addAll(ordered.subList(0, Math.min(ordered.size(), MAX_DISTANT_GATEWAYS)));
-    all.remove(self);
     return all;
   }
 
-  /** Returns the other gateways of this zone; empty if this proxy is a gateway itself. */
-  List<VmId> gatewaysInZoneFor(GroupId group) {
-    return isGateway(group) ? List.of() : gatewaysIn(members.self().zone(), group);
+  /** Returns those of {@link #gatewaysFor} that are in this zone. */
+  List<VmId> nearGatewaysFor(GroupId group) {
+    if (isGateway(group)) {
+      return List.of();
+    }
+    List<VmId> near = rotated(group, gatewaysIn(members.self().zone(), group));
+    near.addAll(reserveFor(group));
+    near.remove(members.self().vm());
+    return near;
   }
 
   /** Returns the proxies of this zone whose store feeds this proxy may follow, best first. */
--- a/serving/src/main/java/org/mimosacleat/serving/peer/PeerLinks.java
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/PeerLinks.java
@@ -32,6 +32,12 @@
  * lost, so that no request waits for a proxy that is gone.
  */
 public final class PeerLinks implements Relay, PeerStops, FeedSources {
+  /**
+   * How long no gateway of the zone must be reachable until those of other zones are tried: shorter
+   * than a statement waits, longer than a proxy of a fleet that starts is behind the others.
+   */
+  private static final Duration DISTANT_GATEWAY_DELAY = Duration.ofMillis(400);
+
   /** How long no proxy must be reachable until this one uses its own connections. */
   private static final Duration ISOLATION_TIMEOUT = Duration.ofMillis(1_000);
 
@@ -63,13 +69,25 @@
 
   @Override
   public List<Gateway> gatewaysOf(GroupId group) {
+    List<VmId> near = placement.nearGatewaysFor(group);
+    List<VmId> all = placement.gatewaysFor(group);
+    List<VmId> tried = near.isEmpty() || haveBeenUnreachable(near) ? all : near;
     List<Gateway> gateways = new ArrayList<>();
-    for (VmId vm : placement.gatewaysFor(group)) {
+    for (VmId vm : tried) {
       members.find(vm).ifPresent(member -> gateways.add(() -> connectionTo(member)));
     }
     return gateways;
   }
 
+  /** Returns whether none of these proxies could be reached for some time. */
+  private boolean haveBeenUnreachable(List<VmId> vms) {
+    return vms.stream().allMatch(vm -> peerOf(vm).hasBeenUnreachableAt(clock.instant()));
+  }
+
+  private Peer peerOf(VmId vm) {
+    return peers.computeIfAbsent(vm, _ -> new Peer(clock.instant()));
+  }
+
   @Override
   public boolean isIsolated() {
     Duration since = Duration.between(lastConnectedAt.get(), clock.instant());
@@ -103,7 +121,7 @@
   /** Opens the connections to the gateways of this zone, so that no request has to wait for it. */
   public void connectAhead(Collection<GroupId> groups) {
     for (GroupId group : groups) {
-      placement.gatewaysInZoneFor(group).forEach(vm -> members.find(vm).ifPresent(this::link));
+      placement.nearGatewaysFor(group).forEach(vm -> members.find(vm).ifPresent(this::link));
     }
   }
 
@@ -113,11 +131,12 @@
 
   /** Returns the open connection to a proxy; if there is none, opens one in the background. */
   private Optional<PeerLink> link(FleetMember member) {
-    Peer peer = peers.computeIfAbsent(member.vm(), _ -> new Peer());
+    Peer peer = peerOf(member.vm());
     PeerLink known = peer.link;
     if (known != null && known.takesWork()) {
       return Optional.of(known);
     }
+    peer.unreachableSince.compareAndSet(Instant.MAX, clock.instant());
     if (peer.connecting.compareAndSet(false, true)) {
       executor.execute(() -> connect(member.vm(), peer));
     }
@@ -134,6 +153,7 @@
       }
       try {
         peer.link = connectTo(member.get());
+        peer.unreachableSince.set(Instant.MAX);
         peer.connecting.set(false);
         Logger.info("connected to proxy {}{}", vm, failed ? " again" : "");
         return;
@@ -156,8 +176,18 @@
   /** The connection to one proxy, or the tries to open it. */
   private static final class Peer {
     private final AtomicBoolean connecting = new AtomicBoolean();
+    private final AtomicReference<Instant> unreachableSince;
     private volatile PeerLink link;
 
+    Peer(Instant now) {
+      this.unreachableSince = new AtomicReference<>(now);
+    }
+
+    private boolean hasBeenUnreachableAt(Instant now) {
+      Instant since = unreachableSince.get();
+      return !since.equals(Instant.MAX) && now.isAfter(since.plus(DISTANT_GATEWAY_DELAY));
+    }
+
     private boolean takesWork() {
       PeerLink current = link;
       return current != null && current.takesWork();
