--- /dev/null
+++ b/serving/src/main/java/org/mimosacleat/serving/network/ConnectionListener.java
@@ -0,0 +1,78 @@
+package org.mimosacleat.serving.network;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.concurrent.ExecutorService;
+import java.util.function.Consumer;
+import org.mimosacleat.core.time.Sleeper;
+import org.tinylog.Logger;
+
+/** Accepts connections and serves each in a task of its own. */
+public final class ConnectionListener implements AutoCloseable {
+  private static final int BACKLOG = 512;
+
+  /**
+   * Keeps a lasting failure, such as a lack of file descriptors, from taking all processor time.
+   */
+  private static final Duration PAUSE_AFTER_FAILURE = Duration.ofMillis(50);
+
+  private final ServerSocket listener;
+  private final ExecutorService executor;
+  private final Consumer<Socket> handler;
+  private final Sleeper sleeper;
+
+  private ConnectionListener(
+      ServerSocket listener, ExecutorService executor, Consumer<Socket> handler, Sleeper sleeper) {
+    this.listener = listener;
+    this.executor = executor;
+    this.handler = handler;
+    this.sleeper = sleeper;
+  }
+
+  /**
+   * Listens on an address.
+   *
+   * @param handler serves one connection, and closes it
+   */
+  public static ConnectionListener start(
+      InetSocketAddress address,
+      ExecutorService executor,
+      Consumer<Socket> handler,
+      Sleeper sleeper)
+      throws IOException {
+    ServerSocket socket = new ServerSocket();
+    socket.setReuseAddress(true);
+    socket.bind(address, BACKLOG);
+    ConnectionListener listener = new ConnectionListener(socket, executor, handler, sleeper);
+    executor.execute(listener::acceptAll);
+    return listener;
+  }
+
+  /** Returns the address that it listens on. */
+  public InetSocketAddress address() {
+    return (InetSocketAddress) listener.getLocalSocketAddress();
+  }
+
+  /** Stops accepting connections; open connections continue. */
+  @Override
+  public void close() throws IOException {
+    listener.close();
+  }
+
+  private void acceptAll() {
+    while (!listener.isClosed()) {
+      try {
+        Socket socket = listener.accept();
+        executor.execute(() -> handler.accept(socket));
+      } catch (IOException failed) {
+        if (!listener.isClosed()) {
+          Logger.warn("connection could not be accepted: {}", failed.getMessage());
+          sleeper.sleep(PAUSE_AFTER_FAILURE);
+        }
+      }
+    }
+  }
+}
--- a/serving/src/main/java/org/mimosacleat/serving/peer/PeerServer.java
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/PeerServer.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -10,8 +9,10 @@
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.mimosacleat.core.id.VmId;
+import org.mimosacleat.core.time.Sleeper;
 import org.mimosacleat.serving.drain.RelayedWork;
 import org.mimosacleat.serving.feed.FeedPublisher;
+import org.mimosacleat.serving.network.ConnectionListener;
 import org.mimosacleat.serving.network.Sockets;
 import org.mimosacleat.serving.promotion.RecordedPrimary;
 import org.mimosacleat.serving.session.RelayedStatements;
@@ -19,9 +20,6 @@
 
 /** Accepts connections of other proxies and runs the statements that they relay. */
 public final class PeerServer implements RelayedWork {
-  private static final int BACKLOG = 512;
-
-  private final ServerSocket listener;
   private final FleetMembers members;
   private final Runnable unknownPeerListener;
   private final Supplier<RelayedStatements> statements;
@@ -29,17 +27,16 @@
   private final FeedPublisher publisher;
   private final ExecutorService executor;
   private final Set<PeerSession> sessions = ConcurrentHashMap.newKeySet();
+  private volatile ConnectionListener listener;
   private volatile boolean leaving;
 
   private PeerServer(
-      ServerSocket listener,
       FleetMembers members,
       Runnable unknownPeerListener,
       Supplier<RelayedStatements> statements,
       Predicate<RecordedPrimary> stopListener,
       FeedPublisher publisher,
       ExecutorService executor) {
-    this.listener = listener;
     this.members = members;
     this.unknownPeerListener = unknownPeerListener;
     this.statements = statements;
@@ -66,13 +63,9 @@
       FeedPublisher publisher,
       ExecutorService executor)
       throws IOException {
-    ServerSocket socket = new ServerSocket();
-    socket.setReuseAddress(true);
-    socket.bind(address, BACKLOG);
     PeerServer server =
-        new PeerServer(
-            socket, members, unknownPeerListener, statements, stopListener, publisher, executor);
-    executor.execute(server::accept);
+        new PeerServer(members, unknownPeerListener, statements, stopListener, publisher, executor);
+    server.listener = ConnectionListener.start(address, executor, server::serve, Sleeper.SYSTEM);
     return server;
   }
 
@@ -92,19 +85,6 @@
     return sessions.stream().mapToInt(PeerSession::unfinishedWork).sum();
   }
 
-  private void accept() {
-    while (!listener.isClosed()) {
-      try {
-        Socket socket = listener.accept();
-        executor.execute(() -> serve(socket));
-      } catch (IOException failed) {
-        if (!listener.isClosed()) {
-          Logger.warn("connection of a proxy could not be accepted: {}", failed.getMessage());
-        }
-      }
-    }
-  }
-
   private void serve(Socket socket) {
     VmId self = members.self().vm();
     try (PeerTransport transport = new PeerTransport(socket);
