Leave what needs a primary to the next gateway while this one holds no lease

They now reject at once what needs the primary, so that another gateway takes it. Test failed before.

--- a/serving/src/main/java/org/mimosacleat/serving/peer/PeerSession.java
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/PeerSession.java
@@ -115,6 +115,11 @@
       transport.send(new PeerFrame.Rejected(correlationId, "the proxy is shutting down"));
       return;
     }
+    if (!statements.canRun(request)) {
+      transport.send(
+          new PeerFrame.Rejected(correlationId, "the proxy may not use the primary now"));
+      return;
+    }
     if (running.get() >= MAX_RUNNING) {
       transport.send(new PeerFrame.Rejected(correlationId, "the proxy is overloaded"));
       return;
--- a/serving/src/main/java/org/mimosacleat/serving/routing/TargetChooser.java
+++ b/serving/src/main/java/org/mimosacleat/serving/routing/TargetChooser.java
@@ -64,12 +64,17 @@
     this.random = random;
   }
 
+  /** Returns whether this proxy may use the primary of a group now. */
+  public boolean mayUsePrimary(GroupId group) {
+    return canUsePrimary.test(group);
+  }
+
   /** Returns the group's primary, or no target if it is unknown or must not be used now. */
   public Target forPrimary(GroupId group) {
     return groupStates
         .of(group)
         .primary()
-        .filter(_ -> canUsePrimary.test(group))
+        .filter(_ -> mayUsePrimary(group))
         .flatMap(pools::find)
         .<Target>map(Target.Primary::new)
         .orElseGet(Target.None::new);
--- a/serving/src/main/java/org/mimosacleat/serving/session/RelayedStatements.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/RelayedStatements.java
@@ -12,6 +12,7 @@
 import org.mimosacleat.core.error.Failure;
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.core.position.Position;
+import org.mimosacleat.serving.fleet.ReadConsistency;
 import org.mimosacleat.serving.fleet.Route;
 import org.mimosacleat.serving.relay.RelayContext;
 import org.mimosacleat.serving.relay.RelayReply;
@@ -61,6 +62,25 @@
     };
   }
 
+  /**
+   * Returns whether a request can be run here now: a proxy that must not use the primary, as after
+   * the loss of its lease, leaves what needs the primary to another gateway.
+   */
+  public boolean canRun(RelayRequest request) {
+    return switch (request) {
+      case RelayRequest.RunStatement run ->
+          canRun(run.context().route(), !run.statement().writes());
+      case RelayRequest.RunInTransaction run ->
+          !run.first() || canRun(run.context().route(), run.readOnly());
+      case RelayRequest.Commit _, RelayRequest.RollBack _ -> true;
+    };
+  }
+
+  private boolean canRun(Route route, boolean reads) {
+    boolean needsPrimary = !reads || route.readConsistency() instanceof ReadConsistency.Latest;
+    return !needsPrimary || dependencies.chooser().mayUsePrimary(route.group());
+  }
+
   /** Returns the number of open transactions. */
   public int openTransactions() {
     return transactions.size();
--- a/serving/src/test/java/org/mimosacleat/serving/relay/FakeGateway.java
+++ b/serving/src/test/java/org/mimosacleat/serving/relay/FakeGateway.java
@@ -40,7 +40,7 @@
     @Override
     public RelayResult execute(RelayRequest request, Instant deadline) {
       requests.add(request);
-      if (leaving || !open) {
+      if (leaving || !open || !statements.canRun(request)) {
         return new RelayResult.NotRun("not run");
       }
       RelayReply reply = statements.register(request).get();
--- a/serving/src/test/java/org/mimosacleat/serving/relay/RelayTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/relay/RelayTest.java
@@ -131,6 +131,35 @@
     assertTrue(proxy.commit(session).hasFailed(ErrorKind.TRANSACTION_LOST));
   }
 
+  /** Pattern: a clock is stepped or a machine suspended, and the store is too slow for a lease. */
+  @Test
+  void gatewayWithoutLeaseLeavesWhatNeedsThePrimaryToTheNext() {
+    first.proxy.canUsePrimaries = false;
+    Session session = proxy.session(ServingFixture.LATEST);
+
+    assertTrue(proxy.write(session).isDone());
+    proxy.begin(session, false);
+    assertTrue(proxy.read(session).isDone());
+    assertTrue(proxy.commit(session).isDone());
+
+    assertEquals(3, second.proxy.primary.ran.size());
+    assertEquals(proxy.clock.instant(), first.proxy.clock.instant());
+  }
+
+  @Test
+  void gatewayWithoutLeaseStillRunsReadsThatReplicasCanServe() {
+    first.proxy.canUsePrimaries = false;
+    first
+        .proxy
+        .groupState()
+        .recordPosition(
+            first.proxy.primary.id(), first.proxy.clock.instant(), first.proxy.primary.position());
+
+    assertTrue(proxy.read(proxy.session(ServingFixture.OWN)).isDone());
+
+    assertEquals(List.of(), second.requests);
+  }
+
   /** Pattern: the gateway restarts in the middle of a transaction, and a new connection is open. */
   @Test
   void transactionDoesNotContinueOnNewConnection() {
