--- a/serving/src/main/java/org/mimosacleat/serving/feed/FeedFollower.java
+++ b/serving/src/main/java/org/mimosacleat/serving/feed/FeedFollower.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import org.mimosacleat.core.id.VmId;
 import org.mimosacleat.core.time.Sleeper;
@@ -30,6 +31,7 @@
   private final InstantSource clock;
   private final Sleeper sleeper;
   private final AtomicReference<Source> current = new AtomicReference<>();
+  private final AtomicLong sourceNumber = new AtomicLong();
   private final Map<String, BlockingQueue<FeedPage>> pages = new ConcurrentHashMap<>();
 
   /** Creates a follower without a source. */
@@ -54,6 +56,13 @@
     return source != null && source.isFresh();
   }
 
+  /**
+   * Returns the number of the source that is followed now; each change of the source has a new one.
+   */
+  public long sourceNumber() {
+    return sourceNumber.get();
+  }
+
   /** Waits for the next changes of a table. */
   public Optional<FeedPage> next(String table, Duration wait) throws InterruptedException {
     return Optional.ofNullable(queue(table).poll(wait.toNanos(), TimeUnit.NANOSECONDS));
@@ -81,6 +90,7 @@
       return true;
     }
     Source next = new Source(candidate);
+    sourceNumber.incrementAndGet();
     current.set(next);
     boolean connected = sources.follow(candidate, next);
     if (connected) {
