--- a/serving/src/main/java/org/mimosacleat/serving/peer/PeerLink.java
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/PeerLink.java
@@ -92,11 +92,6 @@
     }
   }
 
-  /** Returns whether requests can be sent. */
-  boolean isOpen() {
-    return open;
-  }
-
   /** Returns whether the proxy takes new work. */
   boolean takesWork() {
     return open && !leaving;
--- a/serving/src/main/java/org/mimosacleat/serving/peer/PeerLinks.java
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/PeerLinks.java
@@ -70,8 +70,8 @@
   @Override
   public List<Gateway> gatewaysOf(GroupId group) {
     List<VmId> near = placement.nearGatewaysFor(group);
-    List<VmId> all = placement.gatewaysFor(group);
-    List<VmId> tried = near.isEmpty() || haveBeenUnreachable(near) ? all : near;
+    List<VmId> tried =
+        near.isEmpty() || haveBeenUnreachable(near) ? placement.gatewaysFor(group) : near;
     List<Gateway> gateways = new ArrayList<>();
     for (VmId vm : tried) {
       members.find(vm).ifPresent(member -> gateways.add(() -> connectionTo(member)));
