--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryReplacement.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryReplacement.java
@@ -91,7 +91,10 @@
         dependencies.sharedRecords().writePrimary(next, claim.version());
     if (written.isLeft()) {
       Logger.info(
-          "{}: could not claim the replacement in the shared record: {}", group, written.getLeft());
+          "{}: could not claim the replacement in the shared record of version {}: {}",
+          group,
+          claim.version(),
+          written.getLeft());
       return false;
     }
     claim = new RecordedPrimary(next, written.get());
