--- a/serving/src/test/java/org/mimosacleat/serving/promotion/FakeGroup.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/FakeGroup.java
@@ -91,12 +91,16 @@
   public Result promote(GroupId group, EndpointId id, VmId holder, long token) {
     FakeEndpoint endpoint = find(id);
     endpoint.role = EndpointRole.PRIMARY;
-    endpoint.term = new Term(2);
+    endpoint.term = latestTerm().next();
     promotionListener.run();
     requests.add("promote " + id + " by " + holder + " token " + token);
     return Result.TAKEN;
   }
 
+  private Term latestTerm() {
+    return endpoints.stream().map(endpoint -> endpoint.term).max(Term::compareTo).orElseThrow();
+  }
+
   private static void await(CountDownLatch latch) {
     try {
       latch.await();
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/FakeRecords.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/FakeRecords.java
@@ -21,6 +21,25 @@
   private final Map<VmId, Long> versions = new HashMap<>();
   private Runnable lateWrite = () -> {};
   private long version = 100;
+  private Copy copy = new Copy(Optional.empty(), Map.of(), List.of(), Map.of(), 0);
+
+  /** Keeps a copy of everything that is stored now. */
+  void copy() {
+    copy =
+        new Copy(primary, Map.copyOf(proxies), List.copyOf(stops), Map.copyOf(versions), version);
+  }
+
+  /** Comes back from the copy: what was written since is lost, and versions are given out again. */
+  void comeBackFromCopy() {
+    primary = copy.primary();
+    proxies.clear();
+    proxies.putAll(copy.proxies());
+    stops.clear();
+    stops.addAll(copy.stops());
+    versions.clear();
+    versions.putAll(copy.versions());
+    version = copy.version();
+  }
 
   @Override
   public Either<RecordFailure, Long> writePrimary(PrimaryRecord record, long expectedVersion) {
@@ -90,4 +109,11 @@
   private <T> Either<RecordFailure, T> answer(T value) {
     return down ? Either.left(RecordFailure.NOT_DONE) : Either.right(value);
   }
+
+  private record Copy(
+      Optional<RecordedPrimary> primary,
+      Map<VmId, ProxyRecord> proxies,
+      List<StopRecord> stops,
+      Map<VmId, Long> versions,
+      long version) {}
 }
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/GroupFailoverControllerTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/GroupFailoverControllerTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -13,6 +14,7 @@
 import java.util.concurrent.Executors;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.mimosacleat.core.id.EndpointId;
@@ -148,6 +150,41 @@
     assertEquals(Optional.of(proxy.replica.id()), primary());
   }
 
+  /** Guards against: records that the store has lost block every later replacement. */
+  @Tag("known-red")
+  @Test
+  void drainingPrimaryIsReplacedAfterTheStoreCameBackFromAnOlderCopy() {
+    shared.copy();
+    promoteReplica();
+    shared.comeBackFromCopy();
+    evaluateFor(Duration.ofSeconds(4));
+
+    proxy.pools.put(proxy.replica.entry(true));
+    evaluateFor(Duration.ofSeconds(4));
+
+    assertEquals(Optional.of(proxy.primary.id()), primary());
+    assertEquals(new Term(3), recorded().term());
+  }
+
+  private void promoteReplica() {
+    proxy.primary.role = EndpointRole.REPLICA;
+    proxy.replica.role = EndpointRole.PRIMARY;
+    proxy.replica.term = new Term(2);
+    write(recorded().withReplacement(new Replacement(OTHER, true)));
+    write(recorded().withPrimary(proxy.replica.id(), proxy.replica.term));
+    controller.evaluate(NO_SUSPICION);
+  }
+
+  /** Evaluates the group, and reads its record, at the usual intervals. */
+  private void evaluateFor(Duration time) {
+    Instant end = proxy.clock.instant().plus(time);
+    while (proxy.clock.instant().isBefore(end)) {
+      records.put(shared.primary.orElseThrow());
+      controller.evaluate(NO_SUSPICION);
+      proxy.clock.advance(Duration.ofMillis(500));
+    }
+  }
+
   private void write(PrimaryRecord record) {
     long version = shared.primary.map(RecordedPrimary::version).orElse(0L);
     long written = shared.writePrimary(record, version).get();
