Read all rows again when the answer of a feed is of another era

What callers saw: endpoints or routes of which a proxy does not know, or which it still uses, after the store came back from an older copy. Cause: a feed continued at a known version; once the store's counter had passed that number again no 410 came, and rows that were written under numbers below it were never read. Pages passed on between proxies had the same fault, without any 410.

--- a/serving/src/main/java/org/mimosacleat/serving/feed/FeedPage.java
+++ b/serving/src/main/java/org/mimosacleat/serving/feed/FeedPage.java
@@ -2,19 +2,22 @@
 
 import java.util.List;
 import org.mimosacleat.core.check.Checks;
+import org.mimosacleat.serving.version.StoreEra;
 
 /**
- * The changes of one table between two versions of the store.
+ * The changes of one table between two versions of the store, both of one era.
  *
  * @param table the table
+ * @param era the era of all versions
  * @param after the version after which the changes were made
  * @param version the version up to which the page has all changes of the table
  * @param rows the changed rows, in the order of their changes
  */
-public record FeedPage(String table, long after, long version, List<FeedRow> rows) {
+public record FeedPage(String table, StoreEra era, long after, long version, List<FeedRow> rows) {
   /** Copies the rows. */
   public FeedPage {
     Checks.notNull("table", table);
+    Checks.notNull("era", era);
     rows = List.copyOf(rows);
   }
 
--- a/serving/src/main/java/org/mimosacleat/serving/feed/FeedPosition.java
+++ b/serving/src/main/java/org/mimosacleat/serving/feed/FeedPosition.java
@@ -2,28 +2,29 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
+import org.mimosacleat.serving.version.StoreVersion;
 
 /**
  * How far the changes of one table are known, and whether the changes that another proxy passes on
  * continue this without a gap. After a change of that proxy, and after a gap, the store has to be
- * asked once: changes may have been passed on while this proxy did not listen.
+ * asked once: changes may have been passed on while this proxy did not listen. Changes of another
+ * era continue nothing: all rows have to be read again.
  */
 public final class FeedPosition {
   /** For an answer of the store that was asked for while no source passed changes on in time. */
   public static final long NO_SOURCE = -1;
 
-  private OptionalLong version = OptionalLong.empty();
+  private Optional<StoreVersion> version = Optional.empty();
   private long joinedSource = NO_SOURCE;
 
   /** Returns the version up to which all changes are known; empty if the table was never read. */
-  public OptionalLong version() {
+  public Optional<StoreVersion> version() {
     return version;
   }
 
   /** Forgets the version, so that the whole table is read again. */
   public void forget() {
-    version = OptionalLong.empty();
+    version = Optional.empty();
   }
 
   /**
@@ -41,24 +42,32 @@
    * @param source the number of the source that passed changes on before the store was asked, or
    *     {@link #NO_SOURCE}
    */
-  public void asked(long known, long source) {
-    version = OptionalLong.of(known);
+  public void asked(StoreVersion known, long source) {
+    version = Optional.of(known);
     joinedSource = source;
   }
 
   /**
-   * Accepts a page of the source that has been joined.
+   * Accepts a page of the source that has been joined. A page of an earlier era brings nothing new.
    *
-   * @return the rows that are new; empty if a page before this one is missing
+   * @return the rows that are new; empty if a page before this one is missing, or all rows have to
+   *     be read again
    */
   public Optional<List<FeedRow>> accept(FeedPage page) {
-    long known = version.orElseThrow();
-    if (!page.continues(known)) {
+    StoreVersion known = version.orElseThrow();
+    if (known.era().isAfter(page.era())) {
+      return Optional.of(List.of());
+    }
+    if (page.era().isAfter(known.era())) {
+      forget();
+      return Optional.empty();
+    }
+    if (!page.continues(known.number())) {
       joinedSource = NO_SOURCE;
       return Optional.empty();
     }
-    List<FeedRow> rows = page.rowsAfter(known);
-    version = OptionalLong.of(Math.max(known, page.version()));
+    List<FeedRow> rows = page.rowsAfter(known.number());
+    version = Optional.of(new StoreVersion(known.era(), Math.max(known.number(), page.version())));
     return Optional.of(rows);
   }
 }
--- a/serving/src/main/java/org/mimosacleat/serving/peer/FeedCodec.java
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/FeedCodec.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import org.mimosacleat.serving.feed.FeedPage;
 import org.mimosacleat.serving.feed.FeedRow;
+import org.mimosacleat.serving.version.StoreEra;
 import org.mimosacleat.wire.fleet.MessagePackUtil;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
@@ -12,13 +13,15 @@
   private FeedCodec() {}
 
   static void pack(MessagePacker packer, FeedPage page) throws IOException {
-    packer.packString(page.table()).packLong(page.after()).packLong(page.version());
+    packer.packString(page.table()).packLong(page.era().number());
+    packer.packLong(page.after()).packLong(page.version());
     MessagePackUtil.writeList(packer, page.rows(), FeedCodec::packRow);
   }
 
   static FeedPage unpack(MessageUnpacker unpacker) throws IOException {
     return new FeedPage(
         unpacker.unpackString(),
+        new StoreEra(unpacker.unpackLong()),
         unpacker.unpackLong(),
         unpacker.unpackLong(),
         MessagePackUtil.readList(unpacker, FeedCodec::unpackRow));
--- a/serving/src/test/java/org/mimosacleat/serving/feed/FeedFollowerTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/feed/FeedFollowerTest.java
@@ -13,11 +13,13 @@
 import org.junit.jupiter.api.Test;
 import org.mimosacleat.core.id.VmId;
 import org.mimosacleat.core.time.PausedClock;
+import org.mimosacleat.serving.version.StoreEra;
 
 class FeedFollowerTest {
   private static final VmId FIRST = new VmId("first");
   private static final VmId SECOND = new VmId("second");
-  private static final FeedPage PAGE = new FeedPage("op", 3, 9, List.of());
+  private static final StoreEra ERA = new StoreEra(1);
+  private static final FeedPage PAGE = new FeedPage("op", ERA, 3, 9, List.of());
 
   private final PausedClock clock = new PausedClock();
   private final FakeSources sources = new FakeSources();
@@ -80,7 +82,7 @@
     FeedRow known = new FeedRow("a", new byte[0], 5, false);
     FeedRow newer = new FeedRow("b", new byte[0], 8, false);
 
-    assertEquals(List.of(newer), new FeedPage("op", 3, 9, List.of(known, newer)).rowsAfter(5));
+    assertEquals(List.of(newer), new FeedPage("op", ERA, 3, 9, List.of(known, newer)).rowsAfter(5));
   }
 
   /** Proxies that can all be reached. */
--- a/serving/src/test/java/org/mimosacleat/serving/peer/RelayCodecTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/peer/RelayCodecTest.java
@@ -33,6 +33,7 @@
 import org.mimosacleat.serving.statement.ForwardedStatement;
 import org.mimosacleat.serving.statement.PreparedShape;
 import org.mimosacleat.serving.statement.StatementId;
+import org.mimosacleat.serving.version.StoreEra;
 import org.mimosacleat.wire.peer.PeerProtocolException;
 
 class RelayCodecTest {
@@ -57,7 +58,7 @@
             new PeerFrame.Rejected(4, "busy"),
             new PeerFrame.Follow(),
             new PeerFrame.StoreContact(Duration.ofMillis(40)),
-            new PeerFrame.Changes(new FeedPage("op", 3, 9, List.of())),
+            new PeerFrame.Changes(new FeedPage("op", new StoreEra(2), 3, 9, List.of())),
             new PeerFrame.StopPrimary(8, claim()),
             new PeerFrame.Stopped(8, true),
             new PeerFrame.Request(5, new RelayRequest.RollBack(9)),
