Renew leases at once after a return of the store, and wait for those it has lost

After a return from an older copy the list lacks the leases of the lost seconds, while their proxies may use the primary for up to 14 s more, so a primary that nobody reaches could be replaced beside a proxy that still writes to it. Now a proxy renews its lease as soon as it sees a later era, with the store's time read anew; a replacement that is not fenced waits until no lease of the time before the return can be held; and proxies that were listed before the return stay members for 6 s, so that links to them are not refused and gateways do not change.

Weighed: leases that are short at first (an outage of the store soon after a fleet's start would stop all writes).

--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryAccess.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryAccess.java
@@ -60,6 +60,11 @@
     }
   }
 
+  /** Renews the lease soon, because the store may have lost its record. */
+  public void renewSoon() {
+    requests.release();
+  }
+
   /** Returns whether the lease record of this proxy may name a group. */
   boolean mayBeRecorded(GroupId group) {
     return requested.contains(group);
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryUsers.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryUsers.java
@@ -51,7 +51,15 @@
     if (!users.isEmpty()) {
       readStopRecords(claim);
     }
-    return fenced || remainingUsers().isEmpty();
+    return fenced || (remainingUsers().isEmpty() && isListComplete(claim));
+  }
+
+  /**
+   * After a return of the store from an older copy the list lacks proxies that were granted a lease
+   * shortly before it, until they have renewed it or can't hold it any longer.
+   */
+  private boolean isListComplete(RecordedPrimary claim) {
+    return claim.record().confirmation().isCompleteAt(list.storeMillis());
   }
 
   /** Logs the proxies that have not confirmed. */
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/ProxyLease.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/ProxyLease.java
@@ -4,11 +4,14 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
 import org.mimosacleat.core.id.GroupId;
+import org.mimosacleat.core.id.VmId;
 import org.mimosacleat.serving.peer.FleetMember;
 import org.mimosacleat.serving.version.StoreEra;
 import org.mimosacleat.serving.version.StoreEras;
@@ -28,6 +31,11 @@
   /** Added to {@link #DURATION} before another proxy's lease is considered expired. */
   public static final Duration EXPIRY_MARGIN = Duration.ofSeconds(1);
 
+  /**
+   * By then every proxy that reaches the store has renewed its lease after a return of the store.
+   */
+  private static final Duration MAX_TIME_TO_RENEW_ALL = Duration.ofSeconds(6);
+
   private static final Duration MAX_CLOCK_DRIFT = Duration.ofMillis(700);
 
   private final FleetMember self;
@@ -40,6 +48,7 @@
   private final AtomicReference<Optional<StoreVersion>> recordVersion =
       new AtomicReference<>(Optional.empty());
   private final AtomicReference<StoreTime> storeTime = new AtomicReference<>();
+  private final AtomicReference<List<FleetMember>> lastHolders = new AtomicReference<>(List.of());
 
   /**
    * Creates a lease that is not held.
@@ -90,14 +99,15 @@
   }
 
   /**
-   * Renews the lease; reads the store's time first if unknown or outdated by a suspension.
+   * Renews the lease; reads the store's time first if unknown, or outdated by a suspension of the
+   * machine or a return of the store from an older copy.
    *
    * @param groups the groups whose primaries this proxy may use
    */
   public Either<RecordFailure, StoreVersion> renew(Set<GroupId> groups) {
     StoreTime time = storeTime.get();
     Optional<StoreVersion> expected = recordVersion.get();
-    if (time == null || hasDrifted(time.drift()) || expected.isEmpty()) {
+    if (time == null || isOutdated(time) || expected.isEmpty()) {
       return refreshStoreTime()
           .flatMap(_ -> renewAt(storeTime.get(), groups, recordVersion.get().orElseThrow()));
     }
@@ -111,7 +121,7 @@
   Optional<Confirmation> confirmation() {
     StoreTime time = storeTime.get();
     StoreEra era = eras.current();
-    return time == null || hasDrifted(time.drift()) || !time.era().equals(era)
+    return time == null || isOutdated(time)
         ? Optional.empty()
         : Optional.of(new Confirmation(era, Math.max(0, time.latestAt(eras.currentSince()))));
   }
@@ -158,12 +168,31 @@
     renewal.set(new Renewal(sentAt.plus(DURATION), drift, period));
   }
 
+  /**
+   * Returns the other proxies that hold a lease. Soon after a return of the store from an older
+   * copy, those that were listed before are included: the store may have lost their records.
+   */
   private List<FleetMember> otherHolders(ProxyList list) {
-    return list.proxies().stream()
+    Map<VmId, FleetMember> holders = new LinkedHashMap<>();
+    list.proxies().stream()
         .filter(proxy -> !proxy.proxy().equals(self.vm()))
         .filter(proxy -> !hasExpired(proxy, list.storeMillis()))
         .flatMap(proxy -> proxy.member().stream())
-        .toList();
+        .forEach(member -> holders.put(member.vm(), member));
+    if (mayLackLeases()) {
+      lastHolders.get().forEach(member -> holders.putIfAbsent(member.vm(), member));
+    }
+    lastHolders.set(List.copyOf(holders.values()));
+    return lastHolders.get();
+  }
+
+  private boolean mayLackLeases() {
+    Duration sinceReturn = Duration.between(eras.currentSince(), clock.instant());
+    return !eras.isFirst() && sinceReturn.compareTo(MAX_TIME_TO_RENEW_ALL) < 0;
+  }
+
+  private boolean isOutdated(StoreTime time) {
+    return hasDrifted(time.drift()) || !time.era().equals(eras.current());
   }
 
   private Duration drift() {
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryReplacementTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryReplacementTest.java
@@ -209,6 +209,36 @@
     assertTrue(run(false));
   }
 
+  /** Guards against: the store has lost the lease of a proxy that still uses the old primary. */
+  @Test
+  void leasesThatTheStoreMayHaveLostAreWaitedFor() {
+    oldPrimary.reachable = false;
+    confirm(records.storeMillis - ProxyLease.DURATION.toMillis());
+
+    assertFalse(run(false));
+
+    assertEquals(List.of(), group.requests);
+  }
+
+  @Test
+  void leasesThatTheStoreMayHaveLostAreNotWaitedForOnceTheyHaveExpired() {
+    oldPrimary.reachable = false;
+    long expired = ProxyLease.DURATION.plus(ProxyLease.EXPIRY_MARGIN).toMillis() + 1;
+    confirm(records.storeMillis - expired);
+
+    assertTrue(run(false));
+  }
+
+  /**
+   * Pattern: a primary leaves soon after the store came back; it is fenced, so nobody can use it.
+   */
+  @Test
+  void fencedPrimaryIsReplacedWithoutWaitingForLostLeases() {
+    confirm(records.storeMillis);
+
+    assertTrue(run(true));
+  }
+
   @Test
   void replacementClaimedByAnotherProxyIsNotStarted() {
     RecordedPrimary seen = records.primary.orElseThrow();
@@ -232,6 +262,13 @@
     assertEquals(Optional.of(replica.id()), records.primary.orElseThrow().record().primary());
   }
 
+  /** Confirms the record as after a return of the store from an older copy. */
+  private void confirm(long leasesMissingAt) {
+    RecordedPrimary seen = records.primary.orElseThrow();
+    Confirmation confirmation = new Confirmation(FakeRecords.CONFIRMED.era(), leasesMissingAt);
+    records.writePrimary(seen.record().withConfirmation(confirmation), seen.version());
+  }
+
   private boolean run(boolean planned) {
     return new PrimaryReplacement(dependencies(), records.primary.orElseThrow()).run(planned);
   }
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/ProxyLeaseTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/ProxyLeaseTest.java
@@ -75,6 +75,32 @@
     assertEquals(List.of(FakeMember.on(other)), lease.refreshStoreTime().get());
   }
 
+  /** Guards against: nobody waits for this proxy, because the store has lost its lease record. */
+  @Test
+  void recordThatTheStoreHasLostIsWrittenAgain() {
+    records.copy();
+    lease.renew(GROUPS);
+
+    records.comeBackFromCopy();
+    assertTrue(lease.renew(GROUPS).isRight());
+
+    assertTrue(records.proxies.containsKey(SELF));
+  }
+
+  @Test
+  void proxiesThatTheStoreHasLostStayListedUntilTheyHaveRenewed() {
+    records.copy();
+    VmId other = new VmId("other");
+    records.proxies.put(other, new ProxyRecord(FakeMember.on(other), GROUPS, records.storeMillis));
+    lease.refreshStoreTime();
+
+    records.comeBackFromCopy();
+    assertEquals(List.of(FakeMember.on(other)), lease.refreshStoreTime().get());
+
+    advanceAllClocks(Duration.ofSeconds(7));
+    assertEquals(List.of(), lease.refreshStoreTime().get());
+  }
+
   private void advanceAllClocks(Duration time) {
     clock.advance(time);
     wallClock.advance(time);
