Run the tasks of a test in its own thread, where a paused clock raced with them

Traced: the replacement gives up after 25 s of the paused clock, which its 500 short sleeps pass within milliseconds; on a busy machine the task that asks the other proxy had not run by then. The test is as strict as before; only the order of its tasks is fixed.

--- a/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryReplacementTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryReplacementTest.java
@@ -171,7 +171,7 @@
                     claim.record().round(),
                     false));
 
-    assertTrue(run(false));
+    assertTrue(run(false, new DirectExecutor()));
   }
 
   /** Pattern: a primary fails in a large fleet of which a third is dead, frozen or cut off. */
@@ -245,7 +245,7 @@
     records.writePrimary(
         seen.record().withReplacement(new Replacement(OTHER, true)), seen.version());
 
-    assertFalse(new PrimaryReplacement(dependencies(), seen).run(true));
+    assertFalse(new PrimaryReplacement(dependencies(executor), seen).run(true));
 
     assertEquals(List.of(), group.requests);
   }
@@ -270,11 +270,15 @@
   }
 
   private boolean run(boolean planned) {
-    return new PrimaryReplacement(dependencies(), records.primary.orElseThrow()).run(planned);
+    return run(planned, executor);
+  }
+
+  private boolean run(boolean planned, ExecutorService tasks) {
+    return new PrimaryReplacement(dependencies(tasks), records.primary.orElseThrow()).run(planned);
   }
 
-  private FailoverDependencies dependencies() {
+  private FailoverDependencies dependencies(ExecutorService tasks) {
     return group.dependencies(
-        SELF, proxy, records, records.eras, new PrimaryRecords(_ -> {}), executor);
+        SELF, proxy, records, records.eras, new PrimaryRecords(_ -> {}), tasks);
   }
 }
