Grant no access by a record that may not be the latest, and refuse outdated stops

Same cause elsewhere: a proxy that began to use a primary after a return of the store read the record of the copy, and a former primary that was replaced in the lost seconds without a fence would have been used beside the new one. Access now waits until the record is confirmed in its era; a proxy that had access all along keeps it. A proxy also confirmed to stop for a claim on a former primary while it used a later one, so the holder took the group as unused; such a claim is now refused.

A list now counts only in the era of the claim.

--- a/serving/src/main/java/org/mimosacleat/serving/peer/PeerServer.java
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/PeerServer.java
@@ -6,7 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
-import java.util.function.Predicate;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.mimosacleat.core.id.VmId;
 import org.mimosacleat.core.time.Sleeper;
@@ -15,6 +15,7 @@
 import org.mimosacleat.serving.network.ConnectionListener;
 import org.mimosacleat.serving.network.Sockets;
 import org.mimosacleat.serving.promotion.RecordedPrimary;
+import org.mimosacleat.serving.promotion.StopResult;
 import org.mimosacleat.serving.session.RelayedStatements;
 import org.tinylog.Logger;
 
@@ -23,7 +24,7 @@
   private final FleetMembers members;
   private final Runnable unknownPeerListener;
   private final Supplier<RelayedStatements> statements;
-  private final Predicate<RecordedPrimary> stopListener;
+  private final Function<RecordedPrimary, StopResult> stopListener;
   private final FeedPublisher publisher;
   private final ExecutorService executor;
   private final Set<PeerSession> sessions = ConcurrentHashMap.newKeySet();
@@ -34,7 +35,7 @@
       FleetMembers members,
       Runnable unknownPeerListener,
       Supplier<RelayedStatements> statements,
-      Predicate<RecordedPrimary> stopListener,
+      Function<RecordedPrimary, StopResult> stopListener,
       FeedPublisher publisher,
       ExecutorService executor) {
     this.members = members;
@@ -51,7 +52,7 @@
    * @param unknownPeerListener called when a VM connects that is not known as a member; it should
    *     read the members again
    * @param statements creates what runs the statements of one connection
-   * @param stopListener stops the use of a primary; returns whether the primary was fenced
+   * @param stopListener stops the use of the primary that a claim replaces
    * @param publisher passes changes in the store on
    */
   public static PeerServer start(
@@ -59,7 +60,7 @@
       FleetMembers members,
       Runnable unknownPeerListener,
       Supplier<RelayedStatements> statements,
-      Predicate<RecordedPrimary> stopListener,
+      Function<RecordedPrimary, StopResult> stopListener,
       FeedPublisher publisher,
       ExecutorService executor)
       throws IOException {
--- a/serving/src/main/java/org/mimosacleat/serving/peer/PeerSession.java
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/PeerSession.java
@@ -4,13 +4,14 @@
 import java.time.Duration;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.Predicate;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.mimosacleat.core.id.VmId;
 import org.mimosacleat.serving.feed.FeedPage;
 import org.mimosacleat.serving.feed.FeedPublisher;
 import org.mimosacleat.serving.feed.FeedSubscriber;
 import org.mimosacleat.serving.promotion.RecordedPrimary;
+import org.mimosacleat.serving.promotion.StopResult;
 import org.mimosacleat.serving.relay.RelayReply;
 import org.mimosacleat.serving.relay.RelayRequest;
 import org.mimosacleat.serving.session.RelayedStatements;
@@ -24,7 +25,7 @@
 
   private final PeerTransport transport;
   private final RelayedStatements statements;
-  private final Predicate<RecordedPrimary> stopListener;
+  private final Function<RecordedPrimary, StopResult> stopListener;
   private final FeedPublisher publisher;
   private final ExecutorService executor;
   private final AtomicInteger running = new AtomicInteger();
@@ -33,12 +34,12 @@
   /**
    * Creates a session that has read nothing yet.
    *
-   * @param stopListener stops the use of a primary; returns whether the primary was fenced
+   * @param stopListener stops the use of the primary that a claim replaces
    */
   PeerSession(
       PeerTransport transport,
       RelayedStatements statements,
-      Predicate<RecordedPrimary> stopListener,
+      Function<RecordedPrimary, StopResult> stopListener,
       FeedPublisher publisher,
       ExecutorService executor) {
     this.transport = transport;
@@ -107,7 +108,13 @@
   }
 
   private void stopUsingPrimary(long correlationId, RecordedPrimary claim) {
-    sendOrClose(new PeerFrame.Stopped(correlationId, stopListener.test(claim)));
+    sendOrClose(
+        switch (stopListener.apply(claim)) {
+          case FENCED -> new PeerFrame.Stopped(correlationId, true);
+          case ABANDONED -> new PeerFrame.Stopped(correlationId, false);
+          case CLAIM_OUTDATED ->
+              new PeerFrame.Rejected(correlationId, "a later record of the primary is known");
+        });
   }
 
   private void start(long correlationId, RelayRequest request) throws IOException {
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/GroupFailoverController.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/GroupFailoverController.java
@@ -296,7 +296,8 @@
   }
 
   /**
-   * Stops using the primary that a claim replaces; called by the request of another proxy.
+   * Stops using the primary that a claim replaces; called by the request of another proxy. The
+   * claim must be the latest record.
    *
    * @return whether the primary was fenced
    */
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/GroupFailoverControllers.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/GroupFailoverControllers.java
@@ -5,6 +5,7 @@
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.serving.routing.GroupListener;
 import org.mimosacleat.serving.routing.PrimarySuspicionListener;
+import org.tinylog.Logger;
 
 /** The failover controllers of all groups that have endpoints. */
 public final class GroupFailoverControllers implements PrimarySuspicionListener, GroupListener {
@@ -18,8 +19,9 @@
   }
 
   /** Triggers an evaluation of the group after its shared record has changed. */
-  public void recordChanged(GroupId group) {
-    controller(group).wake();
+  public void recordChanged(RecordedPrimary recorded) {
+    dependencies.access().recordChanged(recorded);
+    controller(recorded.record().group()).wake();
   }
 
   @Override
@@ -33,13 +35,24 @@
   }
 
   /**
-   * Follows a claim that another proxy has sent directly, and stops using the primary.
-   *
-   * @return whether the primary was fenced
+   * Follows a claim that another proxy has sent directly, and stops using the primary. A claim on a
+   * record that the store has brought back from an older copy is refused: its primary is a former
+   * one, and this proxy may use a later one.
    */
-  public boolean stopUsingPrimary(RecordedPrimary claim) {
+  public StopResult stopUsingPrimary(RecordedPrimary claim) {
+    GroupId group = claim.record().group();
     dependencies.records().put(claim);
-    return controller(claim.record().group()).stopUsingPrimaryNow(claim);
+    if (dependencies.records().knowsLaterThan(claim.record())) {
+      Logger.warn(
+          "{}: stop for the claim {} refused: a record later than term {}, round {} is known",
+          group,
+          claim.version(),
+          claim.record().term(),
+          claim.record().round());
+      return StopResult.CLAIM_OUTDATED;
+    }
+    boolean fenced = controller(group).stopUsingPrimaryNow(claim);
+    return fenced ? StopResult.FENCED : StopResult.ABANDONED;
   }
 
   private GroupFailoverController controller(GroupId group) {
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryAccess.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryAccess.java
@@ -27,7 +27,8 @@
   private final FleetState fleet;
   private final Set<GroupId> requested = ConcurrentHashMap.newKeySet();
   private final Semaphore requests = new Semaphore(0);
-  private final AtomicReference<Granted> granted = new AtomicReference<>(new Granted(0, Set.of()));
+  private final AtomicReference<Granted> granted =
+      new AtomicReference<>(new Granted(0, Set.of(), Set.of()));
 
   /** Creates an instance without access to any primary. */
   public PrimaryAccess(
@@ -55,7 +56,7 @@
   /** Requests access to the primaries of groups. */
   public void request(Set<GroupId> groups) {
     boolean added = requested.addAll(groups);
-    if (added || !groups.stream().allMatch(this::isCurrent)) {
+    if (added || !groups.stream().allMatch(this::isDecided)) {
       requests.release();
     }
   }
@@ -99,19 +100,50 @@
     return shared.readPrimaries().peek(read -> grant(period, groups, read)).flatMap(_ -> renewed);
   }
 
+  /** Grants access to a primary for which it waits, once its record is confirmed. */
+  void recordChanged(RecordedPrimary recorded) {
+    if (recorded.isConfirmed() && granted.get().unconfirmed().contains(recorded.record().group())) {
+      requests.release();
+    }
+  }
+
   private void grant(long period, Set<GroupId> groups, List<RecordedPrimary> read) {
     for (RecordedPrimary recorded : read) {
-      recorded.applyTo(groupStates.of(recorded.record().group()));
       records.put(recorded);
+      follow(recorded.record().group());
     }
-    granted.set(new Granted(period, groups));
+    Set<GroupId> unconfirmed = new HashSet<>(groups);
+    unconfirmed.removeIf(group -> isCurrent(group) || isConfirmed(group));
+    Set<GroupId> usable = new HashSet<>(groups);
+    usable.removeAll(unconfirmed);
+    granted.set(new Granted(period, usable, unconfirmed));
     fleet.notifyWaiters();
   }
 
+  private void follow(GroupId group) {
+    records.find(group).ifPresent(latest -> latest.applyTo(groupStates.of(group)));
+  }
+
+  /**
+   * Returns whether this proxy may begin to use the primary of a group. The store may have lost a
+   * later record, of a primary that was promoted since, until the record is confirmed.
+   */
+  private boolean isConfirmed(GroupId group) {
+    return records.find(group).map(RecordedPrimary::isConfirmed).orElse(true);
+  }
+
   private boolean isCurrent(GroupId group) {
     Granted now = granted.get();
     return now.period() == lease.period() && now.groups().contains(group);
   }
 
-  private record Granted(long period, Set<GroupId> groups) {}
+  /** Returns whether access was granted in this period, or waits for a confirmed record. */
+  private boolean isDecided(GroupId group) {
+    Granted now = granted.get();
+    boolean waits = now.period() == lease.period() && now.unconfirmed().contains(group);
+    return waits || isCurrent(group);
+  }
+
+  /** Access in one period of the lease: the groups, and those whose record is not confirmed. */
+  private record Granted(long period, Set<GroupId> groups, Set<GroupId> unconfirmed) {}
 }
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryRecords.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryRecords.java
@@ -21,7 +21,10 @@
     this.listener = listener;
   }
 
-  /** Stores a record unless the cached one has the same version or a newer one. */
+  /**
+   * Stores a record unless the cached one has the same version or a newer one. A later record that
+   * arrives after the store has lost it is kept too.
+   */
   public void put(RecordedPrimary read) {
     GroupId group = read.record().group();
     Known before = records.get(group);
@@ -58,6 +61,11 @@
     return Optional.ofNullable(records.get(group)).map(Known::latest);
   }
 
+  /** Returns whether a record that was agreed on after this one is known. */
+  boolean knowsLaterThan(PrimaryRecord record) {
+    return find(record.group()).filter(known -> known.record().isLaterThan(record)).isPresent();
+  }
+
   /** Returns whether the store has lost the latest record of a group. */
   boolean isLost(GroupId group) {
     Known known = records.get(group);
@@ -68,10 +76,12 @@
   private record Known(RecordedPrimary latest, boolean lost) {
     Known updatedBy(Known read) {
       StoreVersion version = read.latest.version();
-      if (!version.isAfter(latest.version())) {
-        return this;
+      if (version.isAfter(latest.version())) {
+        return latest.record().isLaterThan(read.latest.record()) ? lostAt(version) : read;
       }
-      return latest.record().isLaterThan(read.latest.record()) ? lostAt(version) : read;
+      return read.latest.record().isLaterThan(latest.record())
+          ? new Known(new RecordedPrimary(read.latest.record(), latest.version()), true)
+          : this;
     }
 
     private Known lostAt(StoreVersion version) {
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryUsers.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryUsers.java
@@ -56,10 +56,12 @@
 
   /**
    * After a return of the store from an older copy the list lacks proxies that were granted a lease
-   * shortly before it, until they have renewed it or can't hold it any longer.
+   * shortly before it, until they have renewed it or can't hold it any longer. The claim may be
+   * lost then, too.
    */
   private boolean isListComplete(RecordedPrimary claim) {
-    return claim.record().confirmation().isCompleteAt(list.storeMillis());
+    return list.era().equals(claim.version().era())
+        && claim.record().confirmation().isCompleteAt(list.storeMillis());
   }
 
   /** Logs the proxies that have not confirmed. */
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/FakeRecords.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/FakeRecords.java
@@ -65,12 +65,12 @@
     if (down) {
       return Either.left(RecordFailure.NOT_DONE);
     }
-    if (!primary.map(RecordedPrimary::version).orElse(version(0)).equals(expected)) {
+    if (primary.map(RecordedPrimary::version).orElse(version(0)).number() != expected.number()) {
       return Either.left(RecordFailure.CONFLICT);
     }
     primary = Optional.of(new RecordedPrimary(record, version(++version)));
     written.add(record);
-    return Either.right(version(version));
+    return performed(expected);
   }
 
   @Override
@@ -105,12 +105,12 @@
   }
 
   private Either<RecordFailure, StoreVersion> write(ProxyRecord proxy, StoreVersion expected) {
-    if (!version(versions.getOrDefault(proxy.proxy(), 0L)).equals(expected)) {
+    if (versions.getOrDefault(proxy.proxy(), 0L) != expected.number()) {
       return Either.left(RecordFailure.CONFLICT);
     }
     proxies.put(proxy.proxy(), proxy);
     versions.put(proxy.proxy(), ++version);
-    return Either.right(version(version));
+    return performed(expected);
   }
 
   @Override
@@ -126,6 +126,13 @@
         new ProxyList(List.copyOf(proxies.values()), versions, eras.current(), storeMillis));
   }
 
+  /** A condition of an earlier era may hold for a version that was given out again. */
+  private Either<RecordFailure, StoreVersion> performed(StoreVersion expected) {
+    return expected.era().equals(eras.current())
+        ? Either.right(version(version))
+        : Either.left(RecordFailure.UNCERTAIN);
+  }
+
   private StoreVersion version(long number) {
     return new StoreVersion(eras.current(), number);
   }
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/GroupFailoverControllerTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/GroupFailoverControllerTest.java
@@ -23,6 +23,7 @@
 import org.mimosacleat.serving.FakeMember;
 import org.mimosacleat.serving.ServingFixture;
 import org.mimosacleat.serving.fleet.EndpointRole;
+import org.mimosacleat.serving.version.StoreEra;
 import org.mimosacleat.serving.version.StoreVersion;
 
 class GroupFailoverControllerTest {
@@ -175,6 +176,54 @@
     assertEquals(new Term(3), recorded().term());
   }
 
+  /**
+   * Guards against: a claim on a record of an older copy is confirmed while a later primary is
+   * used.
+   */
+  @Test
+  void stopIsNotConfirmedForClaimOnEarlierRecordThanKnown() {
+    promoteReplica();
+    PrimaryRecord former = shared.written.getFirst();
+    RecordedPrimary claim =
+        new RecordedPrimary(
+            former.withReplacement(new Replacement(OTHER, false)),
+            new StoreVersion(new StoreEra(2), 40));
+
+    StopResult result = new GroupFailoverControllers(dependencies).stopUsingPrimary(claim);
+
+    assertEquals(StopResult.CLAIM_OUTDATED, result);
+    assertEquals(Optional.of(proxy.replica.id()), proxy.groupState().primary());
+  }
+
+  /** Pattern: the store comes back while a primary is being replaced, whose holder can't go on. */
+  @Test
+  void interruptedReplacementIsTakenOverAfterTheStoreCameBack() {
+    dependencies.access().renew();
+    shared.copy();
+    write(recorded().withReplacement(new Replacement(OTHER, true)));
+    controller.evaluate(NO_SUSPICION);
+    shared.comeBackFromCopy();
+
+    evaluateFor(Duration.ofSeconds(3));
+
+    assertEquals(Optional.of(proxy.replica.id()), primary());
+  }
+
+  /** Pattern: all proxies start anew after the store came back; no one remembers the record. */
+  @Test
+  void endpointsAreAskedIfNoProxyHasHadAccessAllAlong() {
+    shared.copy();
+    shared.comeBackFromCopy();
+    proxy.primary.role = EndpointRole.REPLICA;
+    proxy.replica.role = EndpointRole.PRIMARY;
+    proxy.replica.term = new Term(2);
+
+    evaluateFor(Duration.ofSeconds(5));
+
+    assertEquals(Optional.of(proxy.replica.id()), primary());
+    assertTrue(recorded().isConfirmedIn(shared.eras.current()));
+  }
+
   private void promoteReplica() {
     proxy.primary.role = EndpointRole.REPLICA;
     proxy.replica.role = EndpointRole.PRIMARY;
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryAccessTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryAccessTest.java
@@ -113,6 +113,66 @@
     assertEquals(Optional.empty(), proxy.groupState().primary());
   }
 
+  /** Guards against: a proxy begins to use a former primary by a record from an older copy. */
+  @Test
+  void isNotGrantedByRecordThatMayNotBeTheLatest() {
+    shared.copy();
+    shared.comeBackFromCopy();
+    access.request(Set.of(FakeEndpoint.GROUP));
+
+    access.renew();
+
+    assertFalse(access.isGranted(FakeEndpoint.GROUP));
+  }
+
+  @Test
+  void isGrantedOnceTheRecordIsConfirmed() {
+    shared.copy();
+    shared.comeBackFromCopy();
+    access.request(Set.of(FakeEndpoint.GROUP));
+    access.renew();
+    confirm();
+
+    access.renew();
+
+    assertTrue(access.isGranted(FakeEndpoint.GROUP));
+  }
+
+  /** Pattern: the store comes back while this proxy uses a primary; no request has to wait. */
+  @Test
+  void staysGrantedWhileTheLeaseIsHeldOverReturnOfTheStore() {
+    access.request(Set.of(FakeEndpoint.GROUP));
+    access.renew();
+    shared.copy();
+    shared.comeBackFromCopy();
+
+    access.renew();
+
+    assertTrue(access.isGranted(FakeEndpoint.GROUP));
+  }
+
+  /** Guards against: each statement that finds no access makes the proxy read the store again. */
+  @Test
+  void requestsThatWaitForConfirmedRecordAreNotRepeated() {
+    shared.copy();
+    shared.comeBackFromCopy();
+    access.request(Set.of(FakeEndpoint.GROUP));
+    access.renew();
+
+    access.isGranted(FakeEndpoint.GROUP);
+
+    assertEquals(0, access.pendingRequests().availablePermits());
+    confirm();
+    access.recordChanged(shared.primary.orElseThrow());
+    assertEquals(1, access.pendingRequests().availablePermits());
+  }
+
+  private void confirm() {
+    RecordedPrimary seen = shared.primary.orElseThrow();
+    Confirmation confirmation = new Confirmation(shared.eras.current(), shared.storeMillis);
+    shared.writePrimary(seen.record().withConfirmation(confirmation), seen.version());
+  }
+
   private void claim() {
     RecordedPrimary seen = shared.primary.orElseThrow();
     shared.writePrimary(
--- /dev/null
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryRecordsTest.java
@@ -0,0 +1,113 @@
+package org.mimosacleat.serving.promotion;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.mimosacleat.core.id.EndpointId;
+import org.mimosacleat.core.id.GroupId;
+import org.mimosacleat.core.id.VmId;
+import org.mimosacleat.core.position.Term;
+import org.mimosacleat.serving.version.StoreEra;
+import org.mimosacleat.serving.version.StoreVersion;
+
+class PrimaryRecordsTest {
+  private static final GroupId GROUP = new GroupId("lending");
+  private static final EndpointId FORMER = new EndpointId("p");
+  private static final EndpointId PROMOTED = new EndpointId("r");
+  private static final PrimaryRecord BEFORE =
+      new PrimaryRecord(
+          GROUP,
+          Optional.of(FORMER),
+          new Term(1),
+          0,
+          Optional.empty(),
+          new Confirmation(new StoreEra(1), 0));
+  private static final PrimaryRecord CLAIMED =
+      BEFORE.withReplacement(new Replacement(new VmId("vm-1"), false));
+  private static final PrimaryRecord REPLACED = CLAIMED.withPrimary(PROMOTED, new Term(2));
+
+  private final List<RecordedPrimary> heard = new ArrayList<>();
+  private final PrimaryRecords records = new PrimaryRecords(heard::add);
+
+  @Test
+  void newerVersionReplacesOlder() {
+    records.put(recorded(BEFORE, 1, 10));
+    records.put(recorded(CLAIMED, 1, 11));
+    records.put(recorded(BEFORE, 1, 10));
+
+    assertEquals(Optional.of(recorded(CLAIMED, 1, 11)), records.find(GROUP));
+    assertEquals(2, heard.size());
+  }
+
+  /** Guards against: the record of the highest version wins for ever. */
+  @Test
+  void recordLostByTheStoreStaysInForceWithTheVersionOfTheOlderRow() {
+    records.put(recorded(REPLACED, 1, 84));
+
+    records.put(recorded(BEFORE, 2, 16));
+
+    assertEquals(Optional.of(recorded(REPLACED, 2, 16)), records.find(GROUP));
+    assertTrue(records.isLost(GROUP));
+    assertFalse(records.find(GROUP).orElseThrow().isConfirmed());
+  }
+
+  @Test
+  void claimLostByTheStoreStaysInForce() {
+    records.put(recorded(CLAIMED, 1, 84));
+
+    records.put(recorded(BEFORE, 2, 16));
+
+    assertEquals(CLAIMED, records.find(GROUP).orElseThrow().record());
+  }
+
+  @Test
+  void recordIsNoLongerLostOnceItIsWrittenAgain() {
+    records.put(recorded(REPLACED, 1, 84));
+    records.put(recorded(BEFORE, 2, 16));
+
+    records.put(recorded(REPLACED, 2, 17));
+
+    assertFalse(records.isLost(GROUP));
+  }
+
+  /** Guards against: an answer from before the store's return arrives after it. */
+  @Test
+  void olderRecordOfEarlierEraChangesNothing() {
+    records.put(recorded(REPLACED, 2, 16));
+
+    records.put(recorded(CLAIMED, 1, 84));
+
+    assertEquals(Optional.of(recorded(REPLACED, 2, 16)), records.find(GROUP));
+    assertFalse(records.isLost(GROUP));
+  }
+
+  @Test
+  void laterRecordThatArrivesAfterItsLossIsKept() {
+    records.put(recorded(BEFORE, 2, 16));
+
+    records.put(recorded(REPLACED, 1, 84));
+
+    assertEquals(Optional.of(recorded(REPLACED, 2, 16)), records.find(GROUP));
+    assertTrue(records.isLost(GROUP));
+  }
+
+  @Test
+  void recordThatTheCopyLacksIsLost() {
+    records.put(recorded(BEFORE, 1, 84));
+
+    records.retain(Set.of(), new StoreVersion(new StoreEra(2), 40));
+
+    assertTrue(records.isLost(GROUP));
+    assertEquals(StoreVersion.absent(new StoreEra(2)), records.find(GROUP).orElseThrow().version());
+  }
+
+  private static RecordedPrimary recorded(PrimaryRecord record, long era, long version) {
+    return new RecordedPrimary(record, new StoreVersion(new StoreEra(era), version));
+  }
+}
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/TurnTakingRecords.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/TurnTakingRecords.java
@@ -11,11 +11,18 @@
 /** Lets one proxy make its next call to the shared records only when it is given the turn. */
 final class TurnTakingRecords implements SharedRecords {
   private final SharedRecords records;
+  private final Runnable answered;
   private final Semaphore turns = new Semaphore(0);
   private final Semaphore done = new Semaphore(0);
 
-  TurnTakingRecords(SharedRecords records) {
+  /**
+   * Creates records whose proxy waits for its first turn.
+   *
+   * @param answered runs after each call
+   */
+  TurnTakingRecords(SharedRecords records, Runnable answered) {
     this.records = records;
+    this.answered = answered;
   }
 
   /** Lets the proxy make one call and waits until it is made. */
@@ -34,6 +41,7 @@
     try {
       return work.get();
     } finally {
+      answered.run();
       done.release();
     }
   }
