Ignore entries of endpoints that are older than the known ones

After a return of the store from an older copy the list may say ready for an endpoint that drains, or list one that has left, under a later version, until the endpoint itself writes again; a proxy would send it new work. Entries now carry the endpoint's own sequence number, and one that is older than the known entry of the same start is ignored; for a minute this holds also for endpoints that have left. Entries without a start time or a sequence number are applied as before.

--- a/serving/src/main/java/org/mimosacleat/serving/fleet/EndpointEntry.java
+++ b/serving/src/main/java/org/mimosacleat/serving/fleet/EndpointEntry.java
@@ -16,7 +16,9 @@
  * @param slots the number of statements that it executes concurrently
  * @param draining whether it is about to shut down
  * @param role the role that it assumes
- * @param startedAtMillis start time in milliseconds, by its own wall clock
+ * @param startedAtMillis start time in milliseconds, by its own wall clock; zero if unknown
+ * @param sequence grows with each entry that the endpoint writes between two starts; negative if
+ *     unknown
  */
 public record EndpointEntry(
     EndpointId id,
@@ -26,7 +28,8 @@
     int slots,
     boolean draining,
     EndpointRole role,
-    long startedAtMillis) {
+    long startedAtMillis,
+    long sequence) {
   /** Checks the required components. */
   public EndpointEntry {
     Checks.notNull("endpoint id", id);
@@ -46,7 +49,8 @@
         && slots == that.slots
         && draining == that.draining
         && role == that.role
-        && startedAtMillis == that.startedAtMillis;
+        && startedAtMillis == that.startedAtMillis
+        && sequence == that.sequence;
   }
 
   @Override
@@ -70,7 +74,20 @@
         + ", role "
         + role
         + ", started at "
-        + startedAtMillis;
+        + startedAtMillis
+        + ", sequence "
+        + sequence;
+  }
+
+  /**
+   * Returns whether the endpoint wrote this entry before another one. The store may bring an older
+   * entry back, under a later version.
+   */
+  public boolean isOlderThan(EndpointEntry other) {
+    return startedAtMillis > 0
+        && isSameInstanceAs(other)
+        && sequence >= 0
+        && sequence < other.sequence;
   }
 
   /** Returns whether both entries describe the same endpoint since the same process start. */
--- a/serving/src/main/java/org/mimosacleat/serving/routing/EndpointTracker.java
+++ b/serving/src/main/java/org/mimosacleat/serving/routing/EndpointTracker.java
@@ -18,17 +18,22 @@
 
 /**
  * Tracks the endpoints in the store's list. An endpoint that disappears from the list is kept for a
- * while, because after an outage of the store its entry comes back.
+ * while, because after an outage of the store its entry comes back. An entry that is older than the
+ * known one, from before a return of the store from an older copy, is ignored.
  */
 public final class EndpointTracker {
   /** After an outage of the store, a live endpoint is listed again within about two seconds. */
   private static final Duration REMOVAL_DELAY = Duration.ofMillis(2_500);
 
+  /** Longer than the store lists an endpoint that is gone, after its return from an older copy. */
+  private static final Duration DEPARTED_MEMORY = Duration.ofSeconds(60);
+
   private final EndpointPools pools;
   private final GroupStates groupStates;
   private final GroupListener groups;
   private final ScheduledExecutorService scheduler;
   private final Map<EndpointId, EndpointEntry> endpoints = new ConcurrentHashMap<>();
+  private final Map<EndpointId, EndpointEntry> departed = new ConcurrentHashMap<>();
   private final Map<EndpointId, ScheduledFuture<?>> removals = new ConcurrentHashMap<>();
 
   /** Creates an instance without endpoints. */
@@ -64,6 +69,11 @@
     if (removal != null) {
       removal.cancel(false);
     }
+    if (isOutdated(entry)) {
+      Logger.info("older entry of an endpoint ignored: {}", entry);
+      return;
+    }
+    departed.remove(entry.id());
     EndpointEntry before = endpoints.put(entry.id(), entry);
     setInitialPrimary(entry);
     pools.put(entry);
@@ -72,6 +82,14 @@
     }
   }
 
+  /** An endpoint that has left is outdated with the last entry, too: it would write a newer one. */
+  private boolean isOutdated(EndpointEntry entry) {
+    EndpointEntry known = endpoints.get(entry.id());
+    EndpointEntry last = departed.get(entry.id());
+    return (known != null && entry.isOlderThan(known))
+        || (last != null && (entry.isOlderThan(last) || entry.equals(last)));
+  }
+
   /** Schedules the removal of an endpoint that is no longer listed. */
   public void scheduleRemoval(EndpointId endpoint) {
     if (!endpoints.containsKey(endpoint)) {
@@ -89,6 +107,9 @@
     Logger.info("endpoint {} is no longer listed; removed", endpoint);
     pools.remove(endpoint);
     if (last != null) {
+      departed.put(endpoint, last);
+      scheduler.schedule(
+          () -> departed.remove(endpoint, last), DEPARTED_MEMORY.toMillis(), TimeUnit.MILLISECONDS);
       groups.endpointsChanged(last.group());
     }
   }
--- a/serving/src/test/java/org/mimosacleat/serving/FakeEndpoint.java
+++ b/serving/src/test/java/org/mimosacleat/serving/FakeEndpoint.java
@@ -73,6 +73,11 @@
 
   /** Returns the entry that this endpoint reports. */
   public EndpointEntry entry(boolean draining) {
+    return entry(draining, 0);
+  }
+
+  /** Returns an entry that this endpoint reports, with its sequence number. */
+  public EndpointEntry entry(boolean draining, long sequence) {
     return new EndpointEntry(
         id,
         GROUP,
@@ -81,7 +86,8 @@
         3,
         draining,
         role,
-        startedAt);
+        startedAt,
+        sequence);
   }
 
   /** Opens a connection. */
