Let access that the store may lose end 5 s after a renewal, not 14 s

Two primaries that nobody reached any more were replaced only 15 s after the return, once no lease of the time before could be held.

A proxy whose lease record may be younger than a copy of the store (15 s) now loses access to primaries 5 s after its last renewal and renews every 2 s; older access lasts 14 s as before, since every copy names it. So a replacement that is not fenced waits 6 s after the return in place of 15 s. A lease that the copy shows with an earlier renewal counts as renewed until the return. The cost: an outage of the store within 15 s of a proxy's start stops its use of primaries after 5 s.

The exploration lets time pass at any moment of the orders with one return, and finds a mutant that keeps young access for as long as the lease.

--- a/serving/src/main/java/org/mimosacleat/serving/peer/RelayCodec.java
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/RelayCodec.java
@@ -129,7 +129,7 @@
         .packString(replacement.holder().value())
         .packBoolean(replacement.planned())
         .packLong(record.confirmation().era().number())
-        .packLong(record.confirmation().leasesMissingAt())
+        .packLong(record.confirmation().returnSeenAt())
         .packLong(claim.version().era().number())
         .packLong(claim.version().number());
   }
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/LeaseRenewer.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/LeaseRenewer.java
@@ -12,12 +12,15 @@
 /** Renews the lease of this proxy periodically and lists the proxies that hold a lease. */
 public final class LeaseRenewer implements Runnable {
   private static final Duration RENEWAL_INTERVAL = Duration.ofSeconds(5);
+
+  /** While some access is young, and so ends soon after a renewal. */
+  private static final Duration FIRST_RENEWAL_INTERVAL = Duration.ofSeconds(2);
+
   private static final Duration RETRY_INTERVAL = Duration.ofMillis(400);
   private static final Duration CHECK_INTERVAL = Duration.ofMillis(400);
   private static final Duration MIN_LIST_INTERVAL = Duration.ofMillis(1_000);
 
-  /** Number of renewals after which the proxies are listed again. */
-  private static final int RENEWALS_PER_LIST = 4;
+  private static final Duration MAX_LIST_INTERVAL = Duration.ofSeconds(20);
 
   private final ProxyLease lease;
   private final PrimaryAccess access;
@@ -25,6 +28,7 @@
   private final Sleeper sleeper;
   private final AtomicBoolean listRequested = new AtomicBoolean();
   private boolean failing;
+  private Duration sinceList = MAX_LIST_INTERVAL;
 
   /** Creates a renewer; {@code membersListener} receives the other lease holders. */
   public LeaseRenewer(
@@ -49,7 +53,7 @@
     while (!Thread.currentThread().isInterrupted()) {
       // Lists again after the first renewal: proxies that started with this one are listed then.
       boolean afterFirstRenewal = renewals == 1;
-      if (afterFirstRenewal || renewals % RENEWALS_PER_LIST == 0) {
+      if (afterFirstRenewal || sinceList.compareTo(MAX_LIST_INTERVAL) >= 0) {
         listProxies();
       }
       boolean renewed = access.renew().isRight();
@@ -65,6 +69,7 @@
 
   private void listProxies() {
     listRequested.set(false);
+    sinceList = Duration.ZERO;
     lease.refreshStoreTime().peek(membersListener);
   }
 
@@ -73,9 +78,11 @@
    * machine, or if access to further primaries is requested, so that it is renewed immediately.
    */
   private void waitForNextRenewal() {
+    Duration interval = access.isYoung() ? FIRST_RENEWAL_INTERVAL : RENEWAL_INTERVAL;
     Duration waited = Duration.ZERO;
-    while (waited.compareTo(RENEWAL_INTERVAL) < 0 && lease.isHeld() && !isRequested()) {
+    while (waited.compareTo(interval) < 0 && lease.isHeld() && !isRequested()) {
       waited = waited.plus(CHECK_INTERVAL);
+      sinceList = sinceList.plus(CHECK_INTERVAL);
       if (listRequested.get() && waited.compareTo(MIN_LIST_INTERVAL) >= 0) {
         listProxies();
       }
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryAccess.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryAccess.java
@@ -1,8 +1,13 @@
 package org.mimosacleat.serving.promotion;
 
 import io.vavr.control.Either;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -11,6 +16,7 @@
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.serving.fleet.FleetState;
 import org.mimosacleat.serving.routing.GroupStates;
+import org.mimosacleat.serving.version.StoreEra;
 import org.mimosacleat.serving.version.StoreVersion;
 
 /**
@@ -18,30 +24,43 @@
  * before this proxy uses its primary, and the records of all primaries are read after that. So a
  * proxy that replaces a primary either finds this proxy among those to wait for, or this proxy
  * finds the replacement.
+ *
+ * <p>The store may come back from an older copy that lacks the latest lease records. So access that
+ * is younger than such a copy can be ends soon after the last renewal of the lease.
  */
 public final class PrimaryAccess {
+  /** How old a copy may be from which the store comes back. */
+  static final Duration MAX_COPY_AGE = Duration.ofSeconds(15);
+
   private final ProxyLease lease;
   private final SharedRecords shared;
   private final PrimaryRecords records;
   private final GroupStates groupStates;
   private final FleetState fleet;
+  private final InstantSource clock;
   private final Set<GroupId> requested = ConcurrentHashMap.newKeySet();
   private final Semaphore requests = new Semaphore(0);
   private final AtomicReference<Granted> granted =
-      new AtomicReference<>(new Granted(0, Set.of(), Set.of()));
+      new AtomicReference<>(new Granted(0, StoreEra.UNKNOWN, Map.of(), Set.of()));
 
-  /** Creates an instance without access to any primary. */
+  /**
+   * Creates an instance without access to any primary.
+   *
+   * @param clock the monotonic clock
+   */
   public PrimaryAccess(
       ProxyLease lease,
       SharedRecords shared,
       PrimaryRecords records,
       GroupStates groupStates,
-      FleetState fleet) {
+      FleetState fleet,
+      InstantSource clock) {
     this.lease = lease;
     this.shared = shared;
     this.records = records;
     this.groupStates = groupStates;
     this.fleet = fleet;
+    this.clock = clock;
   }
 
   /** Returns whether this proxy may use the primary of a group now; requests access if not. */
@@ -73,7 +92,21 @@
 
   /** Returns whether this proxy may use the primary of a group now; requests nothing. */
   boolean holds(GroupId group) {
-    return lease.isHeld() && isCurrent(group);
+    Granted now = granted.get();
+    Instant since = now.since().get(group);
+    return since != null
+        && now.period() == lease.period()
+        && lease.isHeld()
+        && (!isYoung(since) || lease.isHeldFor(ProxyLease.FIRST_DURATION));
+  }
+
+  /** Returns whether some access is so young that the lease has to be renewed often. */
+  boolean isYoung() {
+    return granted.get().since().values().stream().anyMatch(this::isYoung);
+  }
+
+  private boolean isYoung(Instant since) {
+    return clock.instant().isBefore(since.plus(MAX_COPY_AGE));
   }
 
   /**
@@ -91,8 +124,10 @@
   /** Renews the lease for all requested groups; reads the records of primaries if necessary. */
   public Either<RecordFailure, StoreVersion> renew() {
     requests.drainPermits();
+    dropLapsedAccess();
     Set<GroupId> groups = new HashSet<>(requested);
-    Either<RecordFailure, StoreVersion> renewed = lease.renew(groups);
+    Either<RecordFailure, StoreVersion> renewed =
+        lease.renew(groups).peek(version -> enterEra(version.era()));
     if (renewed.isLeft() || groups.stream().allMatch(this::isCurrent)) {
       return renewed;
     }
@@ -100,6 +135,33 @@
     return shared.readPrimaries().peek(read -> grant(period, groups, read)).flatMap(_ -> renewed);
   }
 
+  /** Ends young access without a recent renewal: the primary may have been replaced meanwhile. */
+  private void dropLapsedAccess() {
+    if (lease.isHeldFor(ProxyLease.FIRST_DURATION)) {
+      return;
+    }
+    granted.updateAndGet(
+        now -> {
+          Map<GroupId, Instant> kept = new HashMap<>(now.since());
+          kept.values().removeIf(this::isYoung);
+          return now.with(now.era(), kept);
+        });
+  }
+
+  /** After a return of the store, young access is only as old as its record in the new era. */
+  private void enterEra(StoreEra era) {
+    granted.updateAndGet(
+        now -> {
+          if (now.era().equals(era)) {
+            return now;
+          }
+          Instant renewedAt = clock.instant();
+          Map<GroupId, Instant> since = new HashMap<>(now.since());
+          since.replaceAll((_, before) -> isYoung(before) ? renewedAt : before);
+          return now.with(era, since);
+        });
+  }
+
   /** Grants access to a primary for which it waits, once its record is confirmed. */
   void recordChanged(RecordedPrimary recorded) {
     if (recorded.isConfirmed() && granted.get().unconfirmed().contains(recorded.record().group())) {
@@ -114,9 +176,15 @@
     }
     Set<GroupId> unconfirmed = new HashSet<>(groups);
     unconfirmed.removeIf(group -> isCurrent(group) || isConfirmed(group));
-    Set<GroupId> usable = new HashSet<>(groups);
-    usable.removeAll(unconfirmed);
-    granted.set(new Granted(period, usable, unconfirmed));
+    Instant grantedAt = clock.instant();
+    Map<GroupId, Instant> since = new HashMap<>();
+    Granted before = granted.get();
+    for (GroupId group : groups) {
+      if (!unconfirmed.contains(group)) {
+        since.put(group, isCurrent(group) ? before.since().get(group) : grantedAt);
+      }
+    }
+    granted.set(new Granted(period, before.era(), since, unconfirmed));
     fleet.notifyWaiters();
   }
 
@@ -134,7 +202,7 @@
 
   private boolean isCurrent(GroupId group) {
     Granted now = granted.get();
-    return now.period() == lease.period() && now.groups().contains(group);
+    return now.period() == lease.period() && now.since().containsKey(group);
   }
 
   /** Returns whether access was granted in this period, or waits for a confirmed record. */
@@ -144,6 +212,17 @@
     return waits || isCurrent(group);
   }
 
-  /** Access in one period of the lease: the groups, and those whose record is not confirmed. */
-  private record Granted(long period, Set<GroupId> groups, Set<GroupId> unconfirmed) {}
+  /**
+   * Access in one period of the lease.
+   *
+   * @param era the era of the store in which the lease was last renewed
+   * @param since the groups, and when access to each was granted
+   * @param unconfirmed the groups whose record is not confirmed
+   */
+  private record Granted(
+      long period, StoreEra era, Map<GroupId, Instant> since, Set<GroupId> unconfirmed) {
+    Granted with(StoreEra newEra, Map<GroupId, Instant> newSince) {
+      return new Granted(period, newEra, Map.copyOf(newSince), unconfirmed);
+    }
+  }
 }
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryUsers.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryUsers.java
@@ -28,6 +28,7 @@
   private final Set<VmId> beingAsked = ConcurrentHashMap.newKeySet();
   private volatile boolean fenced;
   private ProxyList list = new ProxyList(List.of(), Map.of(), StoreEra.UNKNOWN, 0);
+  private Confirmation confirmation = Confirmation.NONE;
   private Instant nextListAt = Instant.MIN;
   private Instant nextStopRecordsAt = Instant.MIN;
 
@@ -46,6 +47,7 @@
     if (!refreshList()) {
       return false;
     }
+    confirmation = claim.record().confirmation();
     List<ProxyRecord> users = remainingUsers();
     users.forEach(user -> askDirectly(user.proxy(), claim));
     if (!users.isEmpty()) {
@@ -55,13 +57,13 @@
   }
 
   /**
-   * After a return of the store from an older copy the list lacks proxies that were granted a lease
-   * shortly before it, until they have renewed it or can't hold it any longer. The claim may be
-   * lost then, too.
+   * After a return of the store from an older copy the list lacks proxies that gained access
+   * shortly before it, until they have renewed their lease or their access has ended. The claim may
+   * be lost then, too.
    */
   private boolean isListComplete(RecordedPrimary claim) {
     return list.era().equals(claim.version().era())
-        && claim.record().confirmation().isCompleteAt(list.storeMillis());
+        && confirmation.isListCompleteAt(list.storeMillis());
   }
 
   /** Logs the proxies that have not confirmed. */
@@ -76,7 +78,7 @@
     List<ProxyRecord> remaining = new ArrayList<>();
     for (ProxyRecord proxy : list.proxies()) {
       boolean mayUse =
-          proxy.mayUsePrimaryOf(group) && !ProxyLease.hasExpired(proxy, list.storeMillis());
+          proxy.mayUsePrimaryOf(group) && !confirmation.hasExpired(proxy, list.storeMillis());
       if (mayUse && !stopped.contains(proxy.proxy())) {
         remaining.add(proxy);
       }
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/ProxyLease.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/ProxyLease.java
@@ -28,7 +28,10 @@
   /** Validity of a renewed lease; longer than most outages of the store. */
   public static final Duration DURATION = Duration.ofSeconds(14);
 
-  /** Added to {@link #DURATION} before another proxy's lease is considered expired. */
+  /** Validity for access that the store may lose when it comes back from an older copy. */
+  public static final Duration FIRST_DURATION = Duration.ofSeconds(5);
+
+  /** Added to the duration before another proxy's lease is considered expired. */
   public static final Duration EXPIRY_MARGIN = Duration.ofSeconds(1);
 
   /**
@@ -72,7 +75,12 @@
 
   /** Returns whether this proxy may use primaries now. */
   public boolean isHeld() {
-    return isValid(renewal.get());
+    return isHeldFor(DURATION);
+  }
+
+  /** Returns whether the lease is valid, if each renewal extends it for this time only. */
+  boolean isHeldFor(Duration duration) {
+    return isValid(renewal.get(), duration);
   }
 
   /**
@@ -83,8 +91,8 @@
     return renewal.get().period();
   }
 
-  private boolean isValid(Renewal last) {
-    return clock.instant().isBefore(last.expiresAt()) && !hasDrifted(last.drift());
+  private boolean isValid(Renewal last, Duration duration) {
+    return clock.instant().isBefore(last.sentAt().plus(duration)) && !hasDrifted(last.drift());
   }
 
   /** Reads the store's time and returns the other proxies that hold a lease. */
@@ -139,7 +147,7 @@
                     failure));
   }
 
-  /** Returns whether a proxy's lease has certainly expired. */
+  /** Returns whether a proxy's lease has certainly expired, unless the store has lost renewals. */
   static boolean hasExpired(ProxyRecord proxy, long storeMillis) {
     return storeMillis - proxy.renewedAtMillis() > DURATION.plus(EXPIRY_MARGIN).toMillis();
   }
@@ -164,8 +172,8 @@
 
   private void extend(Instant sentAt, Duration drift) {
     Renewal last = renewal.get();
-    long period = isValid(last) ? last.period() : last.period() + 1;
-    renewal.set(new Renewal(sentAt.plus(DURATION), drift, period));
+    long period = isValid(last, DURATION) ? last.period() : last.period() + 1;
+    renewal.set(new Renewal(sentAt, drift, period));
   }
 
   /**
@@ -203,7 +211,7 @@
     return drift().minus(before).compareTo(MAX_CLOCK_DRIFT) > 0;
   }
 
-  private record Renewal(Instant expiresAt, Duration drift, long period) {}
+  private record Renewal(Instant sentAt, Duration drift, long period) {}
 
   /**
    * The store's time {@code millis}, read by a request that was sent at {@code sentAt}. The store
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/ProxyRecord.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/ProxyRecord.java
@@ -27,6 +27,11 @@
     this(member.vm(), Optional.of(member), Optional.of(groups), renewedAtMillis);
   }
 
+  /** Returns this record as if it had been renewed at a time. */
+  ProxyRecord renewedAt(long storeMillis) {
+    return new ProxyRecord(proxy, member, groups, storeMillis);
+  }
+
   /** Returns whether the proxy may use the primary of a group while it holds its lease. */
   public boolean mayUsePrimaryOf(GroupId group) {
     return groups.isEmpty() || groups.get().contains(group);
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/FakeGroup.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/FakeGroup.java
@@ -43,7 +43,7 @@
       PrimaryRecords records) {
     ProxyLease lease = new ProxyLease(FakeMember.on(self), shared, eras, proxy.clock, proxy.clock);
     PrimaryAccess access =
-        new PrimaryAccess(lease, shared, records, proxy.groupStates, proxy.fleet);
+        new PrimaryAccess(lease, shared, records, proxy.groupStates, proxy.fleet, proxy.clock);
     access.request(Set.of(FakeEndpoint.GROUP));
     return access;
   }
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryAccessExplorationTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryAccessExplorationTest.java
@@ -6,6 +6,7 @@
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -45,6 +46,9 @@
   /** More calls after a return of the store: records of primaries, confirmation, claim. */
   private static final int RECOVERY_CALLS = 3;
 
+  /** Longer than access lasts of which the store has lost the lease. */
+  private static final Duration PASSING_TIME = Duration.ofSeconds(7);
+
   private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
 
   @AfterEach
@@ -93,6 +97,32 @@
     assertTrue(isFound(Mutant.TRUSTS_LIST_OF_OLDER_COPY, 1));
   }
 
+  /** Guards against: a proxy whose lease the store has lost outlives the wait for it. */
+  @Test
+  void noOrderWithReturnAndTimeLetsProxyUsePrimaryThatIsTakenAsUnused() {
+    ordersWithTime()
+        .forEach(order -> assertFalse(isViolated(order, Mutant.NONE), "order: " + order));
+  }
+
+  @Test
+  void explorationFindsUserThatKeepsYoungAccess() {
+    assertTrue(
+        ordersWithTime().stream().anyMatch(order -> isViolated(order, Mutant.KEEPS_YOUNG_ACCESS)));
+  }
+
+  /** Time passes at any moment of the orders with one return. */
+  private static List<List<Event>> ordersWithTime() {
+    List<List<Event>> all = new ArrayList<>();
+    for (List<Event> order : orders(USER_CALLS, REPLACER_CALLS + RECOVERY_CALLS, 1)) {
+      for (int position = 0; position <= order.size(); position++) {
+        List<Event> withTime = new ArrayList<>(order);
+        withTime.add(position, Event.TIME);
+        all.add(withTime);
+      }
+    }
+    return all;
+  }
+
   private boolean isFound(Mutant mutant, int returns) {
     int recovery = returns * RECOVERY_CALLS;
     return orders(USER_CALLS, REPLACER_CALLS + recovery, returns).stream()
@@ -119,11 +149,15 @@
             case USER -> user.records::giveTurn;
             case REPLACER -> replacer.records::giveTurn;
             case RETURN -> shared::comeBackFromCopy;
+            case TIME -> () -> pass(shared, user, replacer);
           };
       step.run();
     }
     gaining.join();
-    boolean uses = access.isGranted(FakeEndpoint.GROUP) && proxy.groupState().primary().isPresent();
+    boolean granted =
+        access.isGranted(FakeEndpoint.GROUP)
+            || (mutant == Mutant.KEEPS_YOUNG_ACCESS && access.isYoung());
+    boolean uses = granted && proxy.groupState().primary().isPresent();
     return uses && replacing.join();
   }
 
@@ -145,7 +179,12 @@
         new ProxyLease(FakeMember.on(USER), records, user.eras, proxy.clock, proxy.clock);
     PrimaryAccess access =
         new PrimaryAccess(
-            lease, records, new PrimaryRecords(_ -> {}), proxy.groupStates, proxy.fleet);
+            lease,
+            records,
+            new PrimaryRecords(_ -> {}),
+            proxy.groupStates,
+            proxy.fleet,
+            proxy.clock);
     access.request(Set.of(FakeEndpoint.GROUP));
     return access;
   }
@@ -182,10 +221,10 @@
       Participant replacer, PrimaryRecords known, Mutant mutant) {
     replacer.records.readPrimaries().peek(read -> read.forEach(known::put));
     RecordedPrimary latest = known.find(FakeEndpoint.GROUP).orElseThrow();
-    long leasesMissingAt =
+    long returnSeenAt =
         mutant == Mutant.TRUSTS_LIST_OF_OLDER_COPY ? 0 : replacer.shared.storeMillis;
     PrimaryRecord next =
-        latest.record().withConfirmation(new Confirmation(latest.version().era(), leasesMissingAt));
+        latest.record().withConfirmation(new Confirmation(latest.version().era(), returnSeenAt));
     return replacer
         .records
         .writePrimary(next, latest.version())
@@ -219,11 +258,19 @@
     }
   }
 
+  private static void pass(FakeRecords shared, Participant... participants) {
+    shared.storeMillis += PASSING_TIME.toMillis();
+    for (Participant participant : participants) {
+      participant.proxy.clock.advance(PASSING_TIME);
+    }
+  }
+
   /** What happens next. */
   private enum Event {
     USER,
     REPLACER,
-    RETURN
+    RETURN,
+    TIME
   }
 
   /** A fault that the exploration has to find. */
@@ -231,7 +278,8 @@
     NONE,
     LISTS_BEFORE_CLAIM,
     TRUSTS_OLDER_COPY,
-    TRUSTS_LIST_OF_OLDER_COPY
+    TRUSTS_LIST_OF_OLDER_COPY,
+    KEEPS_YOUNG_ACCESS
   }
 
   /** A proxy that learns of a return of the store from the answers to its own calls. */
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryAccessTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryAccessTest.java
@@ -27,7 +27,8 @@
   private final ProxyLease lease =
       new ProxyLease(FakeMember.on(SELF), shared, shared.eras, proxy.clock, wallClock);
   private final PrimaryAccess access =
-      new PrimaryAccess(lease, shared, new PrimaryRecords(_ -> {}), proxy.groupStates, proxy.fleet);
+      new PrimaryAccess(
+          lease, shared, new PrimaryRecords(_ -> {}), proxy.groupStates, proxy.fleet, proxy.clock);
 
   @BeforeEach
   void record() {
@@ -167,6 +168,67 @@
     assertEquals(1, access.pendingRequests().availablePermits());
   }
 
+  /** Guards against: access that the store has lost lasts while nobody waits for this proxy. */
+  @Test
+  void youngAccessEndsSoonAfterTheLastRenewal() {
+    access.request(Set.of(FakeEndpoint.GROUP));
+    access.renew();
+
+    advance(ProxyLease.FIRST_DURATION);
+
+    assertFalse(access.isGranted(FakeEndpoint.GROUP));
+  }
+
+  /** Guards against: a primary that was replaced meanwhile is used when the lease is renewed. */
+  @Test
+  void lapsedYoungAccessIsGrantedOnlyByRecordsReadAnew() {
+    access.request(Set.of(FakeEndpoint.GROUP));
+    access.renew();
+    advance(ProxyLease.FIRST_DURATION);
+    claim();
+
+    access.renew();
+
+    assertEquals(Optional.empty(), proxy.groupState().primary());
+  }
+
+  /** Pattern: the store is away for long; proxies that have had access for a while go on. */
+  @Test
+  void accessOlderThanAnyCopyLastsAsLongAsTheLease() {
+    access.request(Set.of(FakeEndpoint.GROUP));
+    access.renew();
+    for (int renewal = 0; renewal < 8; renewal++) {
+      advance(Duration.ofSeconds(2));
+      access.renew();
+    }
+
+    advance(ProxyLease.DURATION.minusMillis(1));
+
+    assertTrue(access.isGranted(FakeEndpoint.GROUP));
+  }
+
+  @Test
+  void youngAccessIsYoungAnewAfterTheStoreCameBack() {
+    access.request(Set.of(FakeEndpoint.GROUP));
+    access.renew();
+    for (int renewal = 0; renewal < 7; renewal++) {
+      advance(Duration.ofSeconds(2));
+      access.renew();
+    }
+    shared.copy();
+    shared.comeBackFromCopy();
+    access.renew();
+    advance(Duration.ofSeconds(2));
+
+    assertTrue(access.isYoung());
+  }
+
+  private void advance(Duration time) {
+    proxy.clock.advance(time);
+    wallClock.advance(time);
+    shared.storeMillis += time.toMillis();
+  }
+
   private void confirm() {
     RecordedPrimary seen = shared.primary.orElseThrow();
     Confirmation confirmation = new Confirmation(shared.eras.current(), shared.storeMillis);
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryReplacementTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryReplacementTest.java
@@ -28,6 +28,8 @@
 
 class PrimaryReplacementTest {
   private static final long MAX_MEDIAN_GAP_MILLIS = 1_500;
+  private static final long FIRST_LEASE_MILLIS =
+      ProxyLease.FIRST_DURATION.plus(ProxyLease.EXPIRY_MARGIN).toMillis();
   private static final VmId SELF = new VmId("self");
   private static final VmId OTHER = new VmId("other");
 
@@ -213,7 +215,7 @@
   @Test
   void leasesThatTheStoreMayHaveLostAreWaitedFor() {
     oldPrimary.reachable = false;
-    confirm(records.storeMillis - ProxyLease.DURATION.toMillis());
+    confirm(records.storeMillis - ProxyLease.FIRST_DURATION.toMillis());
 
     assertFalse(run(false));
 
@@ -223,8 +225,7 @@
   @Test
   void leasesThatTheStoreMayHaveLostAreNotWaitedForOnceTheyHaveExpired() {
     oldPrimary.reachable = false;
-    long expired = ProxyLease.DURATION.plus(ProxyLease.EXPIRY_MARGIN).toMillis() + 1;
-    confirm(records.storeMillis - expired);
+    confirm(records.storeMillis - FIRST_LEASE_MILLIS - 1);
 
     assertTrue(run(false));
   }
@@ -239,6 +240,37 @@
     assertTrue(run(true));
   }
 
+  /**
+   * Guards against: the copy has an earlier renewal than the last one of a proxy that is cut off.
+   */
+  @Test
+  void leaseWhoseLastRenewalsTheStoreHasLostIsWaitedFor() {
+    oldPrimary.reachable = false;
+    long returnSeenAt = records.storeMillis - FIRST_LEASE_MILLIS - 1;
+    long renewedAt = returnSeenAt - ProxyLease.DURATION.toMillis();
+    records.proxies.put(
+        OTHER, new ProxyRecord(FakeMember.on(OTHER), Set.of(FakeEndpoint.GROUP), renewedAt));
+    confirm(returnSeenAt);
+
+    assertFalse(run(false));
+  }
+
+  @Test
+  void leaseThatHadExpiredBeforeAnyCopyIsNotWaitedFor() {
+    oldPrimary.reachable = false;
+    long returnSeenAt = records.storeMillis - FIRST_LEASE_MILLIS - 1;
+    long renewedAt =
+        returnSeenAt
+            - PrimaryAccess.MAX_COPY_AGE.toMillis()
+            - ProxyLease.DURATION.plus(ProxyLease.EXPIRY_MARGIN).toMillis()
+            - 1;
+    records.proxies.put(
+        OTHER, new ProxyRecord(FakeMember.on(OTHER), Set.of(FakeEndpoint.GROUP), renewedAt));
+    confirm(returnSeenAt);
+
+    assertTrue(run(false));
+  }
+
   @Test
   void replacementClaimedByAnotherProxyIsNotStarted() {
     RecordedPrimary seen = records.primary.orElseThrow();
@@ -263,9 +295,9 @@
   }
 
   /** Confirms the record as after a return of the store from an older copy. */
-  private void confirm(long leasesMissingAt) {
+  private void confirm(long returnSeenAt) {
     RecordedPrimary seen = records.primary.orElseThrow();
-    Confirmation confirmation = new Confirmation(FakeRecords.CONFIRMED.era(), leasesMissingAt);
+    Confirmation confirmation = new Confirmation(FakeRecords.CONFIRMED.era(), returnSeenAt);
     records.writePrimary(seen.record().withConfirmation(confirmation), seen.version());
   }
 
