Refuse statements at once while a primary stays away

A statement waited for the primary for 0.6 of its timeout however long the primary had been away, and while nobody could claim its replacement it was still sent to the dark primary.

A group's primary now counts as unavailable once it has been paused for 2 s, longer than a replacement takes that nothing delays, and while two probes did not reach it and other endpoints answered; statements that need it are then refused as not run, and the client can turn to another proxy. Tests without a network name the pattern: writeIsRefusedAtOnceWhilePrimaryIsNotReached, primaryThatStaysAwayForLongIsUnavailable, primaryThatCanNotBeReplacedIsUsedAgainOnceItAnswers.

--- a/serving/src/main/java/org/mimosacleat/serving/promotion/GroupFailoverController.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/GroupFailoverController.java
@@ -145,7 +145,7 @@
     if (primary.get().draining()) {
       replaceDrainingPrimary(recorded, primary.get());
     } else {
-      probePrimary(recorded, primary.get(), reason.orElse("its connection pool is suspect"));
+      probePrimary(recorded, primary.get(), reason.orElse("it did not answer before"));
     }
   }
 
@@ -214,6 +214,7 @@
     for (int probe = 0; probe < FAILED_PROBES_BEFORE_REPLACEMENT; probe++) {
       Either<Failure, EndpointStatus> status = dependencies.administration().status(primary);
       if (status.isRight() && status.get().role() == EndpointRole.PRIMARY) {
+        usePrimaryAgain(primary.id());
         return;
       }
       if (status.isRight()) {
@@ -236,9 +237,18 @@
           "{}: no endpoint can be reached, the primary included; starting no replacement", group);
       return;
     }
+    state.markUnreachable(primary.id());
     startReplacement(recorded, false, "the primary " + primary.id() + " is unreachable: " + reason);
   }
 
+  private void usePrimaryAgain(EndpointId primary) {
+    if (state.isUnreachable()) {
+      Logger.info("{}: the primary {} is reached again", group, primary);
+      state.markReachable(primary);
+      dependencies.fleet().notifyWaiters();
+    }
+  }
+
   /** Returns the endpoints other than the primary that answer. */
   private List<Candidate> pollOthers(EndpointId primary) {
     List<EndpointEntry> others =
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryTrouble.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryTrouble.java
@@ -23,7 +23,7 @@
     this.dependencies = dependencies;
   }
 
-  /** Returns whether the primary drains, is not listed, or is suspected to be unreachable. */
+  /** Returns whether the primary drains, is not listed, or is unreachable or suspected to be. */
   boolean isSeen(PrimaryRecord record, Optional<String> reason) {
     boolean seen = hasTrouble(record, reason);
     if (!seen) {
@@ -37,6 +37,7 @@
     return primary.isEmpty()
         || primary.get().draining()
         || reason.isPresent()
+        || dependencies.groupStates().of(group).isUnreachable()
         || dependencies
             .pools()
             .find(primary.get().id())
--- a/serving/src/main/java/org/mimosacleat/serving/routing/Target.java
+++ b/serving/src/main/java/org/mimosacleat/serving/routing/Target.java
@@ -21,15 +21,19 @@
    */
   record AfterPosition(EndpointPool pool, Position after) implements Target {}
 
-  /** No endpoint can be used now. */
+  /** No endpoint can be used now, but one is expected to be usable soon. */
   record None() implements Target {}
 
+  /** No endpoint can be used, and a statement can't wait for the end of that. */
+  record Unavailable() implements Target {}
+
   /** Returns the pool of the target; empty if there is no target. */
   default Optional<EndpointPool> usedPool() {
     return switch (this) {
       case Primary primary -> Optional.of(primary.pool());
       case AfterPosition target -> Optional.of(target.pool());
       case None none -> Optional.empty();
+      case Unavailable unavailable -> Optional.empty();
     };
   }
 }
--- a/serving/src/main/java/org/mimosacleat/serving/routing/TargetChooser.java
+++ b/serving/src/main/java/org/mimosacleat/serving/routing/TargetChooser.java
@@ -71,13 +71,13 @@
 
   /** Returns the group's primary, or no target if it is unknown or must not be used now. */
   public Target forPrimary(GroupId group) {
-    return groupStates
-        .of(group)
+    GroupState state = groupStates.of(group);
+    return state
         .primary()
         .filter(_ -> mayUsePrimary(group))
         .flatMap(pools::find)
         .<Target>map(Target.Primary::new)
-        .orElseGet(Target.None::new);
+        .orElseGet(() -> state.isUnavailable() ? new Target.Unavailable() : new Target.None());
   }
 
   /**
--- a/serving/src/main/java/org/mimosacleat/serving/session/AutocommitStatements.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/AutocommitStatements.java
@@ -57,6 +57,8 @@
       case Target.AfterPosition(EndpointPool pool, Position after) ->
           readAtPosition(attempt, statement, pool, after, deadline);
       case Target.None none -> throw new IllegalStateException("no target to read from");
+      case Target.Unavailable unavailable ->
+          throw new IllegalStateException("no target to read from");
     };
   }
 
--- a/serving/src/main/java/org/mimosacleat/serving/session/RetryLoop.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/RetryLoop.java
@@ -68,6 +68,9 @@
     for (int number = 0; number < MAX_ATTEMPTS; number++) {
       CompletableFuture<Void> change = fleet.nextChange();
       Target target = choose.apply(avoided);
+      if (target instanceof Target.Unavailable) {
+        return refused(latest);
+      }
       if (target instanceof Target.None) {
         if (!awaitChange(change, waitLimit)) {
           return refused(latest);
--- a/serving/src/test/java/org/mimosacleat/serving/ServingFixture.java
+++ b/serving/src/test/java/org/mimosacleat/serving/ServingFixture.java
@@ -52,7 +52,7 @@
   public final FakeEndpoint primary = new FakeEndpoint("p", EndpointRole.PRIMARY, 1);
   public final FakeEndpoint replica = new FakeEndpoint("r", EndpointRole.REPLICA, 2);
   public final FleetState fleet = new FleetState();
-  public final GroupStates groupStates = new GroupStates();
+  public final GroupStates groupStates = new GroupStates(clock);
   public final EndpointPools pools =
       new EndpointPools(
           new FakeDialer(primary, replica), clock, fleet, new ConnectionShare(13), _ -> true);
--- a/serving/src/test/java/org/mimosacleat/serving/peer/FakeFleet.java
+++ b/serving/src/test/java/org/mimosacleat/serving/peer/FakeFleet.java
@@ -102,7 +102,7 @@
       FleetMembers known = new FleetMembers(self);
       known.replace(members);
       placement = new GatewayPlacement(known, fleet, share);
-      GroupStates states = new GroupStates();
+      GroupStates states = new GroupStates(clock);
       EndpointPools pools = new EndpointPools(dialer, clock, fleet, share, placement::isGateway);
       fleet.applyIfNewer(configuration());
       pools.put(dialer.endpoint.entry());
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/GroupFailoverControllerTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/GroupFailoverControllerTest.java
@@ -125,6 +125,22 @@
     assertEquals(Optional.of(proxy.replica.id()), proxy.groupState().primary());
   }
 
+  /** Pattern: the primary is dark while the store is away, so that nobody can replace it. */
+  @Test
+  void primaryThatCanNotBeReplacedIsUsedAgainOnceItAnswers() {
+    shared.down = true;
+    proxy.primary.reachable = false;
+    controller.evaluate(SUSPICION);
+    assertEquals(Optional.empty(), proxy.groupState().primary());
+    controller.evaluate(NO_SUSPICION);
+    assertEquals(Optional.empty(), proxy.groupState().primary());
+
+    proxy.primary.reachable = true;
+    controller.evaluate(NO_SUSPICION);
+
+    assertEquals(Optional.of(proxy.primary.id()), proxy.groupState().primary());
+  }
+
   @Test
   void stopOfUnreachablePrimaryIsRecordedDuringItsReplacement() {
     proxy.primary.reachable = false;
--- a/serving/src/test/java/org/mimosacleat/serving/routing/TargetChooserTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/routing/TargetChooserTest.java
@@ -96,6 +96,30 @@
     assertInstanceOf(Target.None.class, proxy.chooser.forPrimary(FakeEndpoint.GROUP));
   }
 
+  /** Pattern: a replacement is delayed for seconds; statements are refused at once, not held. */
+  @Test
+  void primaryThatStaysAwayForLongIsUnavailable() {
+    proxy.groupState().pause(new Term(1));
+    proxy.clock.advance(Duration.ofSeconds(2));
+    proxy.groupState().pause(new Term(1));
+    proxy.clock.advance(Duration.ofMillis(1));
+
+    assertInstanceOf(Target.Unavailable.class, proxy.chooser.forPrimary(FakeEndpoint.GROUP));
+
+    proxy.groupState().setPrimary(proxy.replica.id(), new Term(2));
+    assertInstanceOf(Target.Primary.class, proxy.chooser.forPrimary(FakeEndpoint.GROUP));
+  }
+
+  @Test
+  void primaryThatIsNotReachedIsUnavailable() {
+    proxy.groupState().markUnreachable(proxy.primary.id());
+
+    assertInstanceOf(Target.Unavailable.class, proxy.chooser.forPrimary(FakeEndpoint.GROUP));
+
+    proxy.groupState().markReachable(proxy.primary.id());
+    assertInstanceOf(Target.Primary.class, proxy.chooser.forPrimary(FakeEndpoint.GROUP));
+  }
+
   private EndpointPool replicaPool() {
     return proxy.pools.find(proxy.replica.id()).orElseThrow();
   }
--- a/serving/src/test/java/org/mimosacleat/serving/session/SessionTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/session/SessionTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
@@ -50,6 +51,19 @@
                 "READ a")));
   }
 
+  /** Pattern: the primary is dark and can't be replaced yet; clients must not wait for nothing. */
+  @Test
+  void writeIsRefusedAtOnceWhilePrimaryIsNotReached() {
+    Session session = proxy.session(ServingFixture.OWN);
+    proxy.groupState().markUnreachable(proxy.primary.id());
+    Instant before = proxy.clock.instant();
+
+    Answer answer = proxy.write(session);
+
+    assertEquals(ErrorKind.UNAVAILABLE, answer.failure().orElseThrow().kind());
+    assertEquals(before, proxy.clock.instant());
+  }
+
   @Test
   void readWithoutKnownPositionRunsInTransactionAtPrimary() {
     Session session = proxy.session(ServingFixture.OWN);
