Split the probe of a primary from its failover controller, and find later terms in one place

Behaviour is kept, with one exception: a primary that is no longer listed for 2.5 s counts as unreachable, so statements are refused at once until it is replaced.

--- a/serving/src/main/java/org/mimosacleat/serving/promotion/GroupFailoverController.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/GroupFailoverController.java
@@ -1,20 +1,15 @@
 package org.mimosacleat.serving.promotion;
 
-import io.vavr.control.Either;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import org.mimosacleat.core.error.ErrorKind;
-import org.mimosacleat.core.error.Failure;
 import org.mimosacleat.core.id.EndpointId;
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.core.position.Term;
 import org.mimosacleat.serving.fleet.EndpointEntry;
-import org.mimosacleat.serving.fleet.EndpointRole;
 import org.mimosacleat.serving.routing.GroupState;
 import org.mimosacleat.serving.version.StoreVersion;
 import org.tinylog.Logger;
@@ -35,9 +30,6 @@
 
   private static final Duration MAX_START_DELAY = Duration.ofMillis(120);
   private static final Duration MAX_DELAY_AFTER_FAILURE = Duration.ofMillis(600);
-  private static final Duration PROBE_INTERVAL = Duration.ofMillis(150);
-  private static final Duration MAX_PROBE_INTERVAL_OVERRUN = Duration.ofMillis(60);
-  private static final int FAILED_PROBES_BEFORE_REPLACEMENT = 2;
 
   /** How long a group without a listed primary waits for one before a replacement starts. */
   private static final Duration NO_PRIMARY_TIMEOUT = Duration.ofMillis(2_500);
@@ -45,7 +37,8 @@
   private final GroupId group;
   private final FailoverDependencies dependencies;
   private final GroupState state;
-  private final EndpointStatusPoller statusPoller;
+  private final GroupStatusPoller statusPoller;
+  private final PrimaryProbe probe;
   private final FirstRecordWriter firstRecord;
   private final RecordRecovery recovery;
   private final PrimaryTrouble trouble;
@@ -60,8 +53,8 @@
     this.group = group;
     this.dependencies = dependencies;
     this.state = dependencies.groupStates().of(group);
-    this.statusPoller =
-        new EndpointStatusPoller(dependencies.administration(), dependencies.executor());
+    this.statusPoller = new GroupStatusPoller(group, dependencies);
+    this.probe = new PrimaryProbe(dependencies);
     this.firstRecord = new FirstRecordWriter(group, dependencies);
     this.recovery = new RecordRecovery(group, dependencies);
     this.trouble = new PrimaryTrouble(group, dependencies);
@@ -126,7 +119,7 @@
     }
     if (state.term().isAfter(record.term())) {
       // An endpoint has reported a later term than the newest record received so far.
-      reason.ifPresent(_ -> usePrimaryOfLaterTerm(pollAll(), record.term()));
+      reason.ifPresent(_ -> usePrimaryOfLaterTerm(statusPoller.pollAll(), record.term()));
       return;
     }
     if (!trouble.isSeen(record, reason)) {
@@ -151,36 +144,18 @@
 
   private void replaceDrainingPrimary(RecordedPrimary recorded, EndpointEntry primary) {
     dependencies.sleepRandomly(MAX_START_DELAY);
-    if (!dependencies.hasChanged(recorded) && !pollOthers(primary.id()).isEmpty()) {
+    if (!dependencies.hasChanged(recorded) && !statusPoller.pollOthers(primary.id()).isEmpty()) {
       startReplacement(recorded, true, "the primary is draining");
     }
   }
 
-  /**
-   * Sleeps for the probe interval and returns whether that took much longer than requested. A proxy
-   * that gets no CPU time would otherwise mistake its own delay for an unresponsive primary.
-   */
-  private boolean isDelayedBetweenProbes() {
-    Instant before = dependencies.clock().instant();
-    dependencies.sleeper().sleep(PROBE_INTERVAL);
-    Duration waited = Duration.between(before, dependencies.clock().instant());
-    return waited.minus(PROBE_INTERVAL).compareTo(MAX_PROBE_INTERVAL_OVERRUN) > 0;
-  }
-
-  private List<Candidate> pollAll() {
-    return statusPoller.poll(dependencies.fleet().snapshot().endpointsOf(group));
-  }
-
   /**
    * Uses the primary of the latest term above {@code recordedTerm} among these.
    *
    * @return whether there is one
    */
   private boolean usePrimaryOfLaterTerm(List<Candidate> candidates, Term recordedTerm) {
-    Optional<Candidate> newPrimary =
-        candidates.stream()
-            .filter(candidate -> candidate.isPrimaryOfLaterTerm(recordedTerm))
-            .max(Comparator.comparing(candidate -> candidate.status().term()));
+    Optional<Candidate> newPrimary = Candidate.primaryOfLaterTerm(candidates, recordedTerm);
     newPrimary.ifPresent(
         candidate -> {
           Logger.info(
@@ -202,6 +177,7 @@
             > 0;
     boolean hasEndpoints = !dependencies.fleet().snapshot().endpointsOf(group).isEmpty();
     if (timedOut && hasEndpoints) {
+      recorded.record().primary().ifPresent(state::markUnreachable);
       startReplacement(recorded, false, "the primary is no longer in the endpoint list");
     }
   }
@@ -211,24 +187,24 @@
    * another endpoint is primary of a later term, or if this proxy itself is delayed or isolated.
    */
   private void probePrimary(RecordedPrimary recorded, EndpointEntry primary, String reason) {
-    for (int probe = 0; probe < FAILED_PROBES_BEFORE_REPLACEMENT; probe++) {
-      Either<Failure, EndpointStatus> status = dependencies.administration().status(primary);
-      if (status.isRight() && status.get().role() == EndpointRole.PRIMARY) {
-        usePrimaryAgain(primary.id());
-        return;
-      }
-      if (status.isRight()) {
-        if (!usePrimaryOfLaterTerm(pollAll(), recorded.record().term())) {
-          startReplacement(recorded, true, "the primary reports itself as replica");
-        }
-        return;
-      }
-      boolean unreachable = status.getLeft().kind() == ErrorKind.UNAVAILABLE;
-      if (!unreachable || isDelayedBetweenProbes() || dependencies.hasChanged(recorded)) {
-        return;
-      }
+    switch (probe.probe(recorded, primary)) {
+      case PRIMARY -> usePrimaryAgain(primary.id());
+      case REPLICA -> replaceReplica(recorded);
+      case UNREACHABLE -> replaceUnreachablePrimary(recorded, primary.id(), reason);
+      case INCONCLUSIVE -> Logger.debug("{}: probe of {} inconclusive", group, primary.id());
+      default -> throw new IllegalStateException("unknown result of a probe");
+    }
+  }
+
+  private void replaceReplica(RecordedPrimary recorded) {
+    if (!usePrimaryOfLaterTerm(statusPoller.pollAll(), recorded.record().term())) {
+      startReplacement(recorded, true, "the primary reports itself as replica");
     }
-    List<Candidate> others = pollOthers(primary.id());
+  }
+
+  private void replaceUnreachablePrimary(
+      RecordedPrimary recorded, EndpointId primary, String reason) {
+    List<Candidate> others = statusPoller.pollOthers(primary);
     if (usePrimaryOfLaterTerm(others, recorded.record().term())) {
       return;
     }
@@ -237,8 +213,8 @@
           "{}: no endpoint can be reached, the primary included; starting no replacement", group);
       return;
     }
-    state.markUnreachable(primary.id());
-    startReplacement(recorded, false, "the primary " + primary.id() + " is unreachable: " + reason);
+    state.markUnreachable(primary);
+    startReplacement(recorded, false, "the primary " + primary + " is unreachable: " + reason);
   }
 
   private void usePrimaryAgain(EndpointId primary) {
@@ -249,15 +225,6 @@
     }
   }
 
-  /** Returns the endpoints other than the primary that answer. */
-  private List<Candidate> pollOthers(EndpointId primary) {
-    List<EndpointEntry> others =
-        dependencies.fleet().snapshot().endpointsOf(group).stream()
-            .filter(entry -> !entry.id().equals(primary))
-            .toList();
-    return statusPoller.poll(others);
-  }
-
   private void startReplacement(RecordedPrimary recorded, boolean planned, String reason) {
     if (!recorded.isConfirmed()) {
       // The store may have lost a later record; the recovery confirms the latest one first.
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryReplacement.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryReplacement.java
@@ -151,9 +151,7 @@
     while (dependencies.clock().instant().isBefore(deadline)) {
       List<Candidate> candidates = candidates();
       Optional<Candidate> newPrimary =
-          candidates.stream()
-              .filter(candidate -> candidate.isPrimaryOfLaterTerm(claim.record().term()))
-              .findFirst();
+          Candidate.primaryOfLaterTerm(candidates, claim.record().term());
       if (newPrimary.isPresent()) {
         return recordPrimary(newPrimary.get());
       }
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/RecordRecovery.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/RecordRecovery.java
@@ -1,11 +1,9 @@
 package org.mimosacleat.serving.promotion;
 
 import java.time.Duration;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import org.mimosacleat.core.id.GroupId;
-import org.mimosacleat.serving.fleet.EndpointEntry;
 import org.tinylog.Logger;
 
 /**
@@ -30,13 +28,12 @@
 
   private final GroupId group;
   private final FailoverDependencies dependencies;
-  private final EndpointStatusPoller statusPoller;
+  private final GroupStatusPoller statusPoller;
 
   RecordRecovery(GroupId group, FailoverDependencies dependencies) {
     this.group = group;
     this.dependencies = dependencies;
-    this.statusPoller =
-        new EndpointStatusPoller(dependencies.administration(), dependencies.executor());
+    this.statusPoller = new GroupStatusPoller(group, dependencies);
   }
 
   /**
@@ -74,7 +71,7 @@
   private boolean write(RecordedPrimary recorded, boolean confirms) {
     boolean remembers = dependencies.access().holds(group);
     boolean replacing = recorded.record().replacement().isPresent();
-    List<Candidate> candidates = replacing || !remembers ? pollAll() : List.of();
+    List<Candidate> candidates = replacing || !remembers ? statusPoller.pollAll() : List.of();
     if (confirms && !remembers && !haveAllAnswered(candidates)) {
       return false;
     }
@@ -103,29 +100,20 @@
         && confirmation.isPresent();
   }
 
-  private List<Candidate> pollAll() {
-    return statusPoller.poll(endpoints());
-  }
-
-  private List<EndpointEntry> endpoints() {
-    return dependencies.fleet().snapshot().endpointsOf(group);
-  }
-
   /**
    * Returns whether every endpoint has told its term; if one is silent, it may lead a term that is
    * not recorded, until no lease of the time before the return is left.
    */
   private boolean haveAllAnswered(List<Candidate> candidates) {
     Duration longestLease = ProxyLease.DURATION.plus(ProxyLease.EXPIRY_MARGIN);
-    return candidates.size() == endpoints().size() || sinceReturn().compareTo(longestLease) > 0;
+    return candidates.size() == statusPoller.listed().size()
+        || sinceReturn().compareTo(longestLease) > 0;
   }
 
   /** Returns the record with the endpoint that leads a later term, if one says so. */
   private static PrimaryRecord withPrimaryOfLaterTerm(
       PrimaryRecord record, List<Candidate> candidates) {
-    return candidates.stream()
-        .filter(candidate -> candidate.isPrimaryOfLaterTerm(record.term()))
-        .max(Comparator.comparing(candidate -> candidate.status().term()))
+    return Candidate.primaryOfLaterTerm(candidates, record.term())
         .map(primary -> record.withPrimary(primary.entry().id(), primary.status().term()))
         .orElse(record);
   }
