Count young access as old only if it has not lapsed in between

Young access ends 5 s after a renewal, but became old by the clock alone: access that had lapsed at 14 s of age came back at 15 s without reading the records anew. And a renewal that took long could hide a lapse: it was judged before the call, while the new validity began after it. The lease now numbers the periods without a lapse of the short validity, judged when the answer arrives, as it does for the long one, and access becomes old only by a renewal within such a period (GrantedAccess). lapsedYoungAccessDoesNotComeBackByItsAge fails without it. A record is also no longer written again while its confirmation can't be made.

--- a/serving/src/main/java/org/mimosacleat/serving/promotion/Confirmation.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/Confirmation.java
@@ -38,7 +38,7 @@
    * was taken, it may have been renewed until the return.
    */
   boolean hasExpired(ProxyRecord proxy, long storeMillis) {
-    long copiedAfter = returnSeenAt - PrimaryAccess.MAX_COPY_AGE.toMillis();
+    long copiedAfter = returnSeenAt - GrantedAccess.MAX_COPY_AGE.toMillis();
     boolean mayHaveBeenRenewed =
         proxy.renewedAtMillis() < returnSeenAt && !ProxyLease.hasExpired(proxy, copiedAfter);
     return mayHaveBeenRenewed
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryAccess.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryAccess.java
@@ -1,13 +1,10 @@
 package org.mimosacleat.serving.promotion;
 
 import io.vavr.control.Either;
-import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -29,9 +26,6 @@
  * is younger than such a copy can be ends soon after the last renewal of the lease.
  */
 public final class PrimaryAccess {
-  /** How old a copy may be from which the store comes back. */
-  static final Duration MAX_COPY_AGE = Duration.ofSeconds(15);
-
   private final ProxyLease lease;
   private final SharedRecords shared;
   private final PrimaryRecords records;
@@ -40,8 +34,7 @@
   private final InstantSource clock;
   private final Set<GroupId> requested = ConcurrentHashMap.newKeySet();
   private final Semaphore requests = new Semaphore(0);
-  private final AtomicReference<Granted> granted =
-      new AtomicReference<>(new Granted(0, StoreEra.UNKNOWN, Map.of(), Set.of()));
+  private final AtomicReference<GrantedAccess> granted = new AtomicReference<>(GrantedAccess.NONE);
 
   /**
    * Creates an instance without access to any primary.
@@ -92,21 +85,14 @@
 
   /** Returns whether this proxy may use the primary of a group now; requests nothing. */
   boolean holds(GroupId group) {
-    Granted now = granted.get();
-    Instant since = now.since().get(group);
-    return since != null
-        && now.period() == lease.period()
-        && lease.isHeld()
-        && (!isYoung(since) || lease.isHeldFor(ProxyLease.FIRST_DURATION));
+    GrantedAccess now = granted.get();
+    return now.includes(group, lease)
+        && lease.isHeldFor(now.isYoung(group) ? ProxyLease.FIRST_DURATION : ProxyLease.DURATION);
   }
 
   /** Returns whether some access is so young that the lease has to be renewed often. */
   boolean isYoung() {
-    return granted.get().since().values().stream().anyMatch(this::isYoung);
-  }
-
-  private boolean isYoung(Instant since) {
-    return clock.instant().isBefore(since.plus(MAX_COPY_AGE));
+    return !granted.get().youngSince().isEmpty();
   }
 
   /**
@@ -124,42 +110,13 @@
   /** Renews the lease for all requested groups; reads the records of primaries if necessary. */
   public Either<RecordFailure, StoreVersion> renew() {
     requests.drainPermits();
-    dropLapsedAccess();
     Set<GroupId> groups = new HashSet<>(requested);
     Either<RecordFailure, StoreVersion> renewed =
-        lease.renew(groups).peek(version -> enterEra(version.era()));
+        lease.renew(groups).peek(version -> updateAfterRenewal(version.era()));
     if (renewed.isLeft() || groups.stream().allMatch(this::isCurrent)) {
       return renewed;
     }
-    long period = lease.period();
-    return shared.readPrimaries().peek(read -> grant(period, groups, read)).flatMap(_ -> renewed);
-  }
-
-  /** Ends young access without a recent renewal: the primary may have been replaced meanwhile. */
-  private void dropLapsedAccess() {
-    if (lease.isHeldFor(ProxyLease.FIRST_DURATION)) {
-      return;
-    }
-    granted.updateAndGet(
-        now -> {
-          Map<GroupId, Instant> kept = new HashMap<>(now.since());
-          kept.values().removeIf(this::isYoung);
-          return now.with(now.era(), kept);
-        });
-  }
-
-  /** After a return of the store, young access is only as old as its record in the new era. */
-  private void enterEra(StoreEra era) {
-    granted.updateAndGet(
-        now -> {
-          if (now.era().equals(era)) {
-            return now;
-          }
-          Instant renewedAt = clock.instant();
-          Map<GroupId, Instant> since = new HashMap<>(now.since());
-          since.replaceAll((_, before) -> isYoung(before) ? renewedAt : before);
-          return now.with(era, since);
-        });
+    return shared.readPrimaries().peek(read -> grant(groups, read)).flatMap(_ -> renewed);
   }
 
   /** Grants access to a primary for which it waits, once its record is confirmed. */
@@ -169,22 +126,16 @@
     }
   }
 
-  private void grant(long period, Set<GroupId> groups, List<RecordedPrimary> read) {
+  private void grant(Set<GroupId> groups, List<RecordedPrimary> read) {
     for (RecordedPrimary recorded : read) {
       records.put(recorded);
       follow(recorded.record().group());
     }
     Set<GroupId> unconfirmed = new HashSet<>(groups);
     unconfirmed.removeIf(group -> isCurrent(group) || isConfirmed(group));
-    Instant grantedAt = clock.instant();
-    Map<GroupId, Instant> since = new HashMap<>();
-    Granted before = granted.get();
-    for (GroupId group : groups) {
-      if (!unconfirmed.contains(group)) {
-        since.put(group, isCurrent(group) ? before.since().get(group) : grantedAt);
-      }
-    }
-    granted.set(new Granted(period, before.era(), since, unconfirmed));
+    Set<GroupId> usable = new HashSet<>(groups);
+    usable.removeAll(unconfirmed);
+    granted.updateAndGet(now -> now.decided(lease, usable, unconfirmed, clock.instant()));
     fleet.notifyWaiters();
   }
 
@@ -200,29 +151,19 @@
     return records.find(group).map(RecordedPrimary::isConfirmed).orElse(true);
   }
 
+  private void updateAfterRenewal(StoreEra era) {
+    Instant renewedAt = clock.instant();
+    granted.updateAndGet(now -> now.afterRenewal(lease.shortPeriod(), era, renewedAt));
+  }
+
   private boolean isCurrent(GroupId group) {
-    Granted now = granted.get();
-    return now.period() == lease.period() && now.since().containsKey(group);
+    return granted.get().includes(group, lease);
   }
 
   /** Returns whether access was granted in this period, or waits for a confirmed record. */
   private boolean isDecided(GroupId group) {
-    Granted now = granted.get();
+    GrantedAccess now = granted.get();
     boolean waits = now.period() == lease.period() && now.unconfirmed().contains(group);
     return waits || isCurrent(group);
   }
-
-  /**
-   * Access in one period of the lease.
-   *
-   * @param era the era of the store in which the lease was last renewed
-   * @param since the groups, and when access to each was granted
-   * @param unconfirmed the groups whose record is not confirmed
-   */
-  private record Granted(
-      long period, StoreEra era, Map<GroupId, Instant> since, Set<GroupId> unconfirmed) {
-    Granted with(StoreEra newEra, Map<GroupId, Instant> newSince) {
-      return new Granted(period, newEra, Map.copyOf(newSince), unconfirmed);
-    }
-  }
 }
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/ProxyLease.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/ProxyLease.java
@@ -47,7 +47,7 @@
   private final InstantSource clock;
   private final InstantSource wallClock;
   private final AtomicReference<Renewal> renewal =
-      new AtomicReference<>(new Renewal(Instant.MIN, Duration.ZERO, 0));
+      new AtomicReference<>(new Renewal(Instant.MIN, Duration.ZERO, 0, 0));
   private final AtomicReference<Optional<StoreVersion>> recordVersion =
       new AtomicReference<>(Optional.empty());
   private final AtomicReference<StoreTime> storeTime = new AtomicReference<>();
@@ -91,6 +91,14 @@
     return renewal.get().period();
   }
 
+  /**
+   * Returns the number of the present period in which the lease was held without interruption, if
+   * each renewal extends it for {@link #FIRST_DURATION} only.
+   */
+  long shortPeriod() {
+    return renewal.get().shortPeriod();
+  }
+
   private boolean isValid(Renewal last, Duration duration) {
     return clock.instant().isBefore(last.sentAt().plus(duration)) && !hasDrifted(last.drift());
   }
@@ -136,7 +144,7 @@
 
   /** Releases the lease and removes its record from the store. */
   public void release() {
-    renewal.set(new Renewal(Instant.MIN, Duration.ZERO, period()));
+    renewal.set(new Renewal(Instant.MIN, Duration.ZERO, period(), shortPeriod()));
     records
         .removeProxy(self.vm(), recordVersion.get().orElse(StoreVersion.NONE))
         .peekLeft(
@@ -173,7 +181,8 @@
   private void extend(Instant sentAt, Duration drift) {
     Renewal last = renewal.get();
     long period = isValid(last, DURATION) ? last.period() : last.period() + 1;
-    renewal.set(new Renewal(sentAt, drift, period));
+    long shortPeriod = isValid(last, FIRST_DURATION) ? last.shortPeriod() : last.shortPeriod() + 1;
+    renewal.set(new Renewal(sentAt, drift, period, shortPeriod));
   }
 
   /**
@@ -211,7 +220,7 @@
     return drift().minus(before).compareTo(MAX_CLOCK_DRIFT) > 0;
   }
 
-  private record Renewal(Instant sentAt, Duration drift, long period) {}
+  private record Renewal(Instant sentAt, Duration drift, long period, long shortPeriod) {}
 
   /**
    * The store's time {@code millis}, read by a request that was sent at {@code sentAt}. The store
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/RecordRecovery.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/RecordRecovery.java
@@ -47,12 +47,15 @@
       return false;
     }
     Duration sinceReturn = sinceReturn();
-    boolean confirms = !recorded.isConfirmed() && mayConfirm(sinceReturn);
-    if (sinceReturn.isNegative() || !(lost || confirms)) {
+    Optional<Confirmation> confirmation =
+        !recorded.isConfirmed() && mayConfirm(sinceReturn)
+            ? dependencies.access().confirmation()
+            : Optional.empty();
+    if (sinceReturn.isNegative() || (!lost && confirmation.isEmpty())) {
       return false;
     }
     dependencies.sleepRandomly(MAX_START_DELAY);
-    return !dependencies.hasChanged(recorded) && write(recorded, confirms);
+    return !dependencies.hasChanged(recorded) && write(recorded, confirmation);
   }
 
   /** Returns the time since this proxy's turn began; negative before it. */
@@ -68,16 +71,14 @@
     return sinceReturn.compareTo(wait) >= 0;
   }
 
-  private boolean write(RecordedPrimary recorded, boolean confirms) {
+  private boolean write(RecordedPrimary recorded, Optional<Confirmation> confirmation) {
     boolean remembers = dependencies.access().holds(group);
     boolean replacing = recorded.record().replacement().isPresent();
     List<Candidate> candidates = replacing || !remembers ? statusPoller.pollAll() : List.of();
-    if (confirms && !remembers && !haveAllAnswered(candidates)) {
+    if (confirmation.isPresent() && !remembers && !haveAllAnswered(candidates)) {
       return false;
     }
     PrimaryRecord latest = withPrimaryOfLaterTerm(recorded.record(), candidates);
-    Optional<Confirmation> confirmation =
-        confirms ? dependencies.access().confirmation() : Optional.empty();
     PrimaryRecord next = confirmation.map(latest::withConfirmation).orElse(latest);
     Logger.info(
         "{}: the store came back from an older copy; writing the record of term {}, round {},"
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryAccessTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryAccessTest.java
@@ -192,6 +192,21 @@
     assertEquals(Optional.empty(), proxy.groupState().primary());
   }
 
+  /** Guards against: access that has lapsed counts as old once the time for that has passed. */
+  @Test
+  void lapsedYoungAccessDoesNotComeBackByItsAge() {
+    access.request(Set.of(FakeEndpoint.GROUP));
+    access.renew();
+    for (int renewal = 0; renewal < 6; renewal++) {
+      advance(Duration.ofSeconds(2));
+      access.renew();
+    }
+
+    advance(ProxyLease.FIRST_DURATION);
+
+    assertFalse(access.isGranted(FakeEndpoint.GROUP));
+  }
+
   /** Pattern: the store is away for long; proxies that have had access for a while go on. */
   @Test
   void accessOlderThanAnyCopyLastsAsLongAsTheLease() {
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryReplacementTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryReplacementTest.java
@@ -261,7 +261,7 @@
     long returnSeenAt = records.storeMillis - FIRST_LEASE_MILLIS - 1;
     long renewedAt =
         returnSeenAt
-            - PrimaryAccess.MAX_COPY_AGE.toMillis()
+            - GrantedAccess.MAX_COPY_AGE.toMillis()
             - ProxyLease.DURATION.plus(ProxyLease.EXPIRY_MARGIN).toMillis()
             - 1;
     records.proxies.put(
