--- a/serving/src/main/java/org/mimosacleat/serving/network/ConnectionListener.java
+++ b/serving/src/main/java/org/mimosacleat/serving/network/ConnectionListener.java
@@ -5,7 +5,9 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.mimosacleat.core.time.Sleeper;
 import org.tinylog.Logger;
@@ -19,10 +21,13 @@
    */
   private static final Duration PAUSE_AFTER_FAILURE = Duration.ofMillis(50);
 
+  private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(1);
+
   private final ServerSocket listener;
   private final ExecutorService executor;
   private final Consumer<Socket> handler;
   private final Sleeper sleeper;
+  private final CountDownLatch ended = new CountDownLatch(1);
 
   private ConnectionListener(
       ServerSocket listener, ExecutorService executor, Consumer<Socket> handler, Sleeper sleeper) {
@@ -56,13 +61,31 @@
     return (InetSocketAddress) listener.getLocalSocketAddress();
   }
 
-  /** Stops accepting connections; open connections continue. */
+  /**
+   * Stops accepting connections; open connections continue. Waits for the accepting thread: while
+   * it waits in the socket, the system goes on to admit connections, which nobody would serve.
+   */
   @Override
   public void close() throws IOException {
     listener.close();
+    try {
+      if (!ended.await(CLOSE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)) {
+        Logger.warn("listener at {} is not closed after {}", address(), CLOSE_TIMEOUT);
+      }
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
   }
 
   private void acceptAll() {
+    try {
+      acceptUntilClosed();
+    } finally {
+      ended.countDown();
+    }
+  }
+
+  private void acceptUntilClosed() {
     while (!listener.isClosed()) {
       try {
         Socket socket = listener.accept();
