--- a/serving/src/main/java/org/mimosacleat/serving/promotion/Confirmation.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/Confirmation.java
@@ -26,10 +26,10 @@
 
   /**
    * Returns whether a list of proxies that was read at a time names all that hold a lease. Access
-   * that the store may have lost ends {@link ProxyLease#FIRST_DURATION} after its last renewal.
+   * that the store may have lost ends {@link ProxyLease#SHORT_DURATION} after its last renewal.
    */
   boolean isListCompleteAt(long storeMillis) {
-    Duration longest = ProxyLease.FIRST_DURATION.plus(ProxyLease.EXPIRY_MARGIN);
+    Duration longest = ProxyLease.SHORT_DURATION.plus(ProxyLease.EXPIRY_MARGIN);
     return returnSeenAt == 0 || storeMillis - returnSeenAt > longest.toMillis();
   }
 
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/LeaseRenewer.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/LeaseRenewer.java
@@ -14,7 +14,7 @@
   private static final Duration RENEWAL_INTERVAL = Duration.ofSeconds(5);
 
   /** While some access is young, and so ends soon after a renewal. */
-  private static final Duration FIRST_RENEWAL_INTERVAL = Duration.ofSeconds(2);
+  private static final Duration SHORT_RENEWAL_INTERVAL = Duration.ofSeconds(2);
 
   private static final Duration RETRY_INTERVAL = Duration.ofMillis(400);
   private static final Duration CHECK_INTERVAL = Duration.ofMillis(400);
@@ -78,7 +78,7 @@
    * machine, or if access to further primaries is requested, so that it is renewed immediately.
    */
   private void waitForNextRenewal() {
-    Duration interval = access.isYoung() ? FIRST_RENEWAL_INTERVAL : RENEWAL_INTERVAL;
+    Duration interval = access.isYoung() ? SHORT_RENEWAL_INTERVAL : RENEWAL_INTERVAL;
     Duration waited = Duration.ZERO;
     while (waited.compareTo(interval) < 0 && lease.isHeld() && !isRequested()) {
       waited = waited.plus(CHECK_INTERVAL);
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryAccess.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryAccess.java
@@ -87,7 +87,7 @@
   boolean holds(GroupId group) {
     GrantedAccess now = granted.get();
     return now.includes(group, lease)
-        && lease.isHeldFor(now.isYoung(group) ? ProxyLease.FIRST_DURATION : ProxyLease.DURATION);
+        && lease.isHeldFor(now.isYoung(group) ? ProxyLease.SHORT_DURATION : ProxyLease.DURATION);
   }
 
   /** Returns whether some access is so young that the lease has to be renewed often. */
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/ProxyLease.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/ProxyLease.java
@@ -29,7 +29,7 @@
   public static final Duration DURATION = Duration.ofSeconds(14);
 
   /** Validity for access that the store may lose when it comes back from an older copy. */
-  public static final Duration FIRST_DURATION = Duration.ofSeconds(5);
+  public static final Duration SHORT_DURATION = Duration.ofSeconds(5);
 
   /** Added to the duration before another proxy's lease is considered expired. */
   public static final Duration EXPIRY_MARGIN = Duration.ofSeconds(1);
@@ -93,7 +93,7 @@
 
   /**
    * Returns the number of the present period in which the lease was held without interruption, if
-   * each renewal extends it for {@link #FIRST_DURATION} only.
+   * each renewal extends it for {@link #SHORT_DURATION} only.
    */
   long shortPeriod() {
     return renewal.get().shortPeriod();
@@ -181,7 +181,7 @@
   private void extend(Instant sentAt, Duration drift) {
     Renewal last = renewal.get();
     long period = isValid(last, DURATION) ? last.period() : last.period() + 1;
-    long shortPeriod = isValid(last, FIRST_DURATION) ? last.shortPeriod() : last.shortPeriod() + 1;
+    long shortPeriod = isValid(last, SHORT_DURATION) ? last.shortPeriod() : last.shortPeriod() + 1;
     renewal.set(new Renewal(sentAt, drift, period, shortPeriod));
   }
 
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryAccessTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryAccessTest.java
@@ -174,7 +174,7 @@
     access.request(Set.of(FakeEndpoint.GROUP));
     access.renew();
 
-    advance(ProxyLease.FIRST_DURATION);
+    advance(ProxyLease.SHORT_DURATION);
 
     assertFalse(access.isGranted(FakeEndpoint.GROUP));
   }
@@ -184,7 +184,7 @@
   void lapsedYoungAccessIsGrantedOnlyByRecordsReadAnew() {
     access.request(Set.of(FakeEndpoint.GROUP));
     access.renew();
-    advance(ProxyLease.FIRST_DURATION);
+    advance(ProxyLease.SHORT_DURATION);
     claim();
 
     access.renew();
@@ -202,7 +202,7 @@
       access.renew();
     }
 
-    advance(ProxyLease.FIRST_DURATION);
+    advance(ProxyLease.SHORT_DURATION);
 
     assertFalse(access.isGranted(FakeEndpoint.GROUP));
   }
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryReplacementTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryReplacementTest.java
@@ -28,8 +28,8 @@
 
 class PrimaryReplacementTest {
   private static final long MAX_MEDIAN_GAP_MILLIS = 1_500;
-  private static final long FIRST_LEASE_MILLIS =
-      ProxyLease.FIRST_DURATION.plus(ProxyLease.EXPIRY_MARGIN).toMillis();
+  private static final long SHORT_LEASE_MILLIS =
+      ProxyLease.SHORT_DURATION.plus(ProxyLease.EXPIRY_MARGIN).toMillis();
   private static final VmId SELF = new VmId("self");
   private static final VmId OTHER = new VmId("other");
 
@@ -215,7 +215,7 @@
   @Test
   void leasesThatTheStoreMayHaveLostAreWaitedFor() {
     oldPrimary.reachable = false;
-    confirm(records.storeMillis - ProxyLease.FIRST_DURATION.toMillis());
+    confirm(records.storeMillis - ProxyLease.SHORT_DURATION.toMillis());
 
     assertFalse(run(false));
 
@@ -225,7 +225,7 @@
   @Test
   void leasesThatTheStoreMayHaveLostAreNotWaitedForOnceTheyHaveExpired() {
     oldPrimary.reachable = false;
-    confirm(records.storeMillis - FIRST_LEASE_MILLIS - 1);
+    confirm(records.storeMillis - SHORT_LEASE_MILLIS - 1);
 
     assertTrue(run(false));
   }
@@ -246,7 +246,7 @@
   @Test
   void leaseWhoseLastRenewalsTheStoreHasLostIsWaitedFor() {
     oldPrimary.reachable = false;
-    long returnSeenAt = records.storeMillis - FIRST_LEASE_MILLIS - 1;
+    long returnSeenAt = records.storeMillis - SHORT_LEASE_MILLIS - 1;
     long renewedAt = returnSeenAt - ProxyLease.DURATION.toMillis();
     records.proxies.put(
         OTHER, new ProxyRecord(FakeMember.on(OTHER), Set.of(FakeEndpoint.GROUP), renewedAt));
@@ -258,7 +258,7 @@
   @Test
   void leaseThatHadExpiredBeforeAnyCopyIsNotWaitedFor() {
     oldPrimary.reachable = false;
-    long returnSeenAt = records.storeMillis - FIRST_LEASE_MILLIS - 1;
+    long returnSeenAt = records.storeMillis - SHORT_LEASE_MILLIS - 1;
     long renewedAt =
         returnSeenAt
             - GrantedAccess.MAX_COPY_AGE.toMillis()
