Begin the service of a home anew after a lease that lapsed between two ticks

Traced with the state of proxies and endpoints, which the failure now shows: vm0 holds the lease until 15.15 s, serves, and has read the row, but has no primary. A home that was paused works off its mailbox when it wakes: the first answer finds the lease expired and stops the promotion state machine; an answer behind it renews the lease. At the next tick the controller compares the lease with its own note that it serves, sees no change, and never passes LeaseGained again.

--- a/core/src/main/java/org/mimosacleat/core/promotion/FencingPromotionStateMachine.java
+++ b/core/src/main/java/org/mimosacleat/core/promotion/FencingPromotionStateMachine.java
@@ -71,6 +71,7 @@
     actions = new ArrayList<>();
     if (!(phase instanceof PromotionPhase.Idle) && !lease.isHeld()) {
       stop("the lease expired");
+      actions.add(new PromotionAction.EndService());
     }
     if (input instanceof PromotionInput.LeaseGained gained) {
       takeOver(gained.row());
--- a/core/src/main/java/org/mimosacleat/core/promotion/PromotionAction.java
+++ b/core/src/main/java/org/mimosacleat/core/promotion/PromotionAction.java
@@ -37,6 +37,12 @@
    */
   record Fence(EndpointId endpoint, Term term) implements PromotionAction {}
 
+  /**
+   * End the service of this home: its lease had expired, and the state machine has stopped. It goes
+   * on with the next {@link PromotionInput.LeaseGained}, also if the lease has been renewed since.
+   */
+  record EndService() implements PromotionAction {}
+
   /** Stop serving and stop acknowledging pending writes until a primary is announced. */
   record SuspendService(Term term) implements PromotionAction {}
 
--- a/core/src/test/java/org/mimosacleat/core/promotion/FencingPromotionStateMachineTest.java
+++ b/core/src/test/java/org/mimosacleat/core/promotion/FencingPromotionStateMachineTest.java
@@ -88,6 +88,18 @@
     assertEquals(promote(B, 2), actions.getLast());
   }
 
+  /** Guards against: a lease that lapses and is renewed between two ticks leaves no primary. */
+  @Test
+  void serviceIsEndedWhenTheLeaseHadExpiredBeforeAnInput() {
+    serveWithReservedTerms();
+    leaseHeld = false;
+    actions.clear();
+
+    process(new PromotionInput.Tick());
+
+    assertTrue(actions.contains(new PromotionAction.EndService()));
+  }
+
   @Test
   void homePausedBeyondItsLeaseTakesNoActionInAnyPhase() {
     List<List<PromotionInput>> phases =
@@ -110,7 +122,10 @@
       process(fenced(C, 2, 100), answered(B, at(2, 101), 2), new PromotionInput.Tick());
 
       assertEquals(
-          List.of(PromotionAction.SuspendService.class, PromotionAction.LogDecision.class),
+          List.of(
+              PromotionAction.SuspendService.class,
+              PromotionAction.LogDecision.class,
+              PromotionAction.EndService.class),
           actions.stream().map(Object::getClass).toList(),
           inputs.toString());
     }
--- a/core/src/test/java/org/mimosacleat/core/promotion/PromotionSimulation.java
+++ b/core/src/test/java/org/mimosacleat/core/promotion/PromotionSimulation.java
@@ -312,6 +312,7 @@
                 target,
                 endpoint ->
                     endpoint.replicateFrom(endpoints.get(primary), term, endpoint.size() + 1));
+        case PromotionAction.EndService end -> serving = Optional.empty();
         case PromotionAction.SuspendService suspend -> {
           tracker.suspend();
           serving = Optional.empty();
--- a/lab/src/main/java/org/mimosacleat/lab/measure/failover/FailoverRun.java
+++ b/lab/src/main/java/org/mimosacleat/lab/measure/failover/FailoverRun.java
@@ -297,6 +297,7 @@
               target,
               latencies.primaryChange(),
               endpoint -> follow(endpoint, endpoints.get(primary), term));
+      case PromotionAction.EndService end -> servingTerm = Optional.empty();
       case PromotionAction.SuspendService suspend -> {
         tracker.suspend();
         servingTerm = Optional.empty();
--- a/lab/src/test/java/org/mimosacleat/lab/fuzz/FakeInstance.java
+++ b/lab/src/test/java/org/mimosacleat/lab/fuzz/FakeInstance.java
@@ -40,6 +40,21 @@
     this.id = id;
   }
 
+  @Override
+  public String toString() {
+    return id
+        + ": primary "
+        + primary
+        + ", term "
+        + term()
+        + ", fenced at "
+        + fencedAt()
+        + ", token "
+        + token
+        + ", log length "
+        + log.size();
+  }
+
   EndpointId id() {
     return id;
   }
--- a/lab/src/test/java/org/mimosacleat/lab/fuzz/GroupFuzzTest.java
+++ b/lab/src/test/java/org/mimosacleat/lab/fuzz/GroupFuzzTest.java
@@ -41,7 +41,11 @@
     simulation.heal();
     simulation.runSteps(STEPS_TO_RECOVER);
     if (simulation.home().isEmpty()) {
-      violations.add("no home serves after all faults have ended: " + simulation.explanations());
+      violations.add(
+          "no home serves after all faults have ended: "
+              + simulation.explanations()
+              + ", "
+              + simulation.state());
     }
     return violations;
   }
--- a/lab/src/test/java/org/mimosacleat/lab/fuzz/GroupSimulation.java
+++ b/lab/src/test/java/org/mimosacleat/lab/fuzz/GroupSimulation.java
@@ -88,6 +88,14 @@
     return explanations;
   }
 
+  /** Returns the state of the proxies and endpoints, for failure messages. */
+  public List<String> state() {
+    List<String> state = new ArrayList<>();
+    proxies.forEach(proxy -> state.add(proxy.toString()));
+    instances.forEach(instance -> state.add(instance.toString()));
+    return state;
+  }
+
   /** Sends a write through a proxy and returns its id. */
   public String write(int proxy, int session) {
     return startRequest(proxy, session, true);
--- a/lab/src/test/java/org/mimosacleat/lab/fuzz/SimulatedProxy.java
+++ b/lab/src/test/java/org/mimosacleat/lab/fuzz/SimulatedProxy.java
@@ -101,6 +101,25 @@
     this.router = components.router(simulation.clock(), simulation.random(), zone);
   }
 
+  @Override
+  public String toString() {
+    return vm
+        + ": up "
+        + up
+        + ", paused "
+        + paused
+        + ", claims the lease "
+        + lease.holds()
+        + ", rights "
+        + lease.rights()
+        + ", serving "
+        + serving
+        + ", awaiting the group row "
+        + awaitingGroupRow
+        + ", primary "
+        + primary();
+  }
+
   boolean isUp() {
     return up;
   }
@@ -381,6 +400,7 @@
               () -> {});
       case PromotionAction.Fence fence -> fence(fence, token);
       case PromotionAction.SuspendService suspend -> clearPrimary();
+      case PromotionAction.EndService end -> serving = false;
       case PromotionAction.StartTerm start -> tracker.startTerm(start.membership());
       case PromotionAction.Promote promote -> promote(promote, token);
       case PromotionAction.Follow follow -> follow(follow, token);
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/GroupController.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/GroupController.java
@@ -70,7 +70,13 @@
     this.leaseController = new LeaseController(group, context, resources, mailbox);
     this.promotionController =
         new PromotionController(
-            group, context, resources, mailbox, leaseController, this::holdsLease);
+            group,
+            context,
+            resources,
+            mailbox,
+            leaseController,
+            this::holdsLease,
+            this::endService);
     this.groupHome = factory.createHome(resources);
     this.homeFailureMonitor = new HomeFailureMonitor(group, context);
     this.reachabilityResponder = new ReachabilityResponder(group, context, resources);
@@ -257,16 +263,24 @@
       promotionController.leaseGained();
       context.journal().add(group, "serving as the home under token " + rights.token());
     } else if (serving && !rights.isHome(now)) {
-      serving = false;
-      handOver.set(Optional.empty());
+      endService();
       promotionController.step(new PromotionInput.LeaseLost());
-      resources.state().clearPrimary();
-      resources.releaseConnections();
-      resources.monitors().suspend();
-      context.journal().add(group, "no longer serving as the home: the lease has ended");
     }
   }
 
+  /** Ends the service; it begins anew at the next tick at which the lease is held. */
+  private void endService() {
+    if (!serving) {
+      return;
+    }
+    serving = false;
+    handOver.set(Optional.empty());
+    resources.state().clearPrimary();
+    resources.releaseConnections();
+    resources.monitors().suspend();
+    context.journal().add(group, "no longer serving as the home: the lease has ended");
+  }
+
   private void sendHeartbeats() {
     Instant now = context.clock().instant();
     if (now.isBefore(nextHeartbeatAt)) {
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/PromotionController.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/PromotionController.java
@@ -38,6 +38,7 @@
   private final GroupRowStore rows;
   private final GroupRowLoader rowLoader;
   private final PromotionStateMachine machine;
+  private final Runnable serviceEndListener;
 
   PromotionController(
       GroupId group,
@@ -45,7 +46,9 @@
       GroupResources resources,
       Mailbox mailbox,
       LeaseController leaseController,
-      LeaseStatus leaseStatus) {
+      LeaseStatus leaseStatus,
+      Runnable serviceEndListener) {
+    this.serviceEndListener = serviceEndListener;
     this.group = group;
     this.context = context;
     this.resources = resources;
@@ -94,6 +97,7 @@
       case PromotionAction.ReadRow() -> inBackground(this::read);
       case PromotionAction.Fence fence -> inBackground(() -> fence(fence, token));
       case PromotionAction.SuspendService suspend -> resources.state().clearPrimary();
+      case PromotionAction.EndService end -> serviceEndListener.run();
       case PromotionAction.StartTerm start ->
           resources.state().tracker().startTerm(start.membership());
       case PromotionAction.Promote promote -> inBackground(() -> promote(promote, token));
