Clear the positions that reads require when a proxy is no longer the home

Traced: vm0 is home, announces with the floor 1:0/1, and hands over to vm1, which acknowledges write-8 at 1:0/6. vm1 is lost; vm0 becomes home again while the primary is away. Until it announces a primary it still has the floor of its first time as home, so a read of session-2 requires only 1:0/1 and is sent to a replica that stands there.

--- a/core/src/main/java/org/mimosacleat/core/session/SessionPositionTable.java
+++ b/core/src/main/java/org/mimosacleat/core/session/SessionPositionTable.java
@@ -65,6 +65,11 @@
         known -> Optional.of(Position.latest(known.orElse(Position.NONE), position)));
   }
 
+  @Override
+  public void clearFloor() {
+    floor.set(Optional.empty());
+  }
+
   private static Position withLongerLog(Position first, Position second) {
     return first.log().compareTo(second.log()) >= 0 ? first : second;
   }
--- a/core/src/main/java/org/mimosacleat/core/session/SessionPositions.java
+++ b/core/src/main/java/org/mimosacleat/core/session/SessionPositions.java
@@ -35,4 +35,10 @@
    *     lease; for a new primary, the position at which its term starts
    */
   void setFloor(Position position);
+
+  /**
+   * Clears the floor when this VM is no longer the home: another home may acknowledge writes of the
+   * same sessions, so no position is known that a read must see until the floor is set again.
+   */
+  void clearFloor();
 }
--- a/core/src/test/java/org/mimosacleat/core/session/SessionPositionTableTest.java
+++ b/core/src/test/java/org/mimosacleat/core/session/SessionPositionTableTest.java
@@ -38,6 +38,20 @@
     assertEquals(Optional.of(at(1, 500)), positions.required(MEMBER));
   }
 
+  /**
+   * Guards against: a home reads by positions of an earlier time as home, and misses newer writes.
+   */
+  @Test
+  void positionsAreUnknownAfterAnotherVmWasHome() {
+    positions.setFloor(at(1, 500));
+
+    positions.clearFloor();
+
+    assertEquals(Optional.empty(), positions.required(MEMBER));
+    positions.setFloor(at(1, 900));
+    assertEquals(Optional.of(at(1, 900)), positions.required(MEMBER));
+  }
+
   @Test
   void laterTermReplacesFloorAndKeepsAcknowledgedWrites() {
     positions.setFloor(at(1, 500));
--- a/lab/src/test/java/org/mimosacleat/lab/fuzz/Mutant.java
+++ b/lab/src/test/java/org/mimosacleat/lab/fuzz/Mutant.java
@@ -85,6 +85,11 @@
         public void setFloor(Position position) {
           real.setFloor(position);
         }
+
+        @Override
+        public void clearFloor() {
+          real.clearFloor();
+        }
       };
     }
   },
--- a/lab/src/test/java/org/mimosacleat/lab/fuzz/SimulatedProxy.java
+++ b/lab/src/test/java/org/mimosacleat/lab/fuzz/SimulatedProxy.java
@@ -231,9 +231,8 @@
       serving = true;
       readGroupRow();
     } else if (serving && !rights.isHome(simulation.now())) {
-      serving = false;
+      endService();
       step(new PromotionInput.LeaseLost());
-      clearPrimary();
     }
     if (serving && awaitingGroupRow) {
       readGroupRow();
@@ -318,6 +317,12 @@
     step(new PromotionInput.PollAnswered(response));
   }
 
+  private void endService() {
+    serving = false;
+    clearPrimary();
+    positions.clearFloor();
+  }
+
   private void clearPrimary() {
     tracker.suspend();
     groupState.clearPrimary();
@@ -400,7 +405,7 @@
               () -> {});
       case PromotionAction.Fence fence -> fence(fence, token);
       case PromotionAction.SuspendService suspend -> clearPrimary();
-      case PromotionAction.EndService end -> serving = false;
+      case PromotionAction.EndService end -> endService();
       case PromotionAction.StartTerm start -> tracker.startTerm(start.membership());
       case PromotionAction.Promote promote -> promote(promote, token);
       case PromotionAction.Follow follow -> follow(follow, token);
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/GroupController.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/GroupController.java
@@ -275,7 +275,7 @@
     }
     serving = false;
     handOver.set(Optional.empty());
-    resources.state().clearPrimary();
+    resources.state().endService();
     resources.releaseConnections();
     resources.monitors().suspend();
     context.journal().add(group, "no longer serving as the home: the lease has ended");
--- a/proxy/src/main/java/org/mimosacleat/proxy/home/GroupState.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/home/GroupState.java
@@ -79,7 +79,7 @@
             new Snapshot(withPrimary(before.group(), membership), PrimaryPositionHistory.empty()));
   }
 
-  /** Clears the primary, when a promotion begins or the lease has ended. */
+  /** Clears the primary, when a promotion begins. */
   void clearPrimary() {
     tracker.suspend();
     update(
@@ -93,6 +93,12 @@
                 before.primaryHistory()));
   }
 
+  /** Clears what may change while another VM is the home. */
+  void endService() {
+    clearPrimary();
+    positions.clearFloor();
+  }
+
   /** Applies the answer of an endpoint to a poll. */
   void applyPollAnswer(PollResponse answer) {
     tracker.applyPollResponse(answer);
