Take access as young for 10 s, not 15 s, so that a start before the traffic is over in time

Read from the windows: the store is silent for some proxies from 2.5 to 11.5 s; proxies start 19 s before the traffic, so some access was still young at 2.5 s and ended 5 s later. With 10 s it is old by then.

--- a/serving/src/main/java/org/mimosacleat/serving/promotion/GrantedAccess.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/GrantedAccess.java
@@ -28,7 +28,7 @@
     Map<GroupId, Instant> youngSince,
     Set<GroupId> unconfirmed) {
   /** How old a copy may be from which the store comes back. */
-  static final Duration MAX_COPY_AGE = Duration.ofSeconds(15);
+  static final Duration MAX_COPY_AGE = Duration.ofSeconds(10);
 
   /** No access to any primary. */
   static final GrantedAccess NONE =
