--- a/serving/src/main/java/org/mimosacleat/serving/routing/GroupState.java
+++ b/serving/src/main/java/org/mimosacleat/serving/routing/GroupState.java
@@ -47,11 +47,6 @@
     return state.get().term();
   }
 
-  /** Returns whether the primary is being replaced. */
-  public boolean isPaused() {
-    return state.get().pausedSince().isPresent();
-  }
-
   /** Returns whether this proxy does not reach the primary, while it reaches other endpoints. */
   public boolean isUnreachable() {
     return state.get().unreachable();
