--- /dev/null
+++ b/review/standin/review/Proxy.java
@@ -0,0 +1,102 @@
+package review;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** One proxy of the project, started with the command of the deploy file. */
+final class Proxy {
+  final String name;
+  final String zone;
+  final int clientPort;
+  final int readyPort;
+  final int peerPort;
+  final Path log;
+  private final Path settings;
+  private Process process;
+
+  Proxy(String name, String zone, int storePort, int dutyPort, Path folder) throws IOException {
+    this.name = name;
+    this.zone = zone;
+    this.clientPort = Lab.freePort();
+    this.readyPort = Lab.freePort();
+    this.peerPort = Lab.freePort();
+    this.log = folder.resolve(name + ".log");
+    this.settings = folder.resolve(name + ".json");
+    Files.writeString(settings, json(storePort, dutyPort).toString());
+  }
+
+  /** The settings of the small deployment kaitiaki-lend, with loopback addresses. */
+  private JsonObject json(int storePort, int dutyPort) {
+    JsonObject json = new JsonObject();
+    json.addProperty("node_name", name);
+    json.addProperty("role", "proxy");
+    json.addProperty("machine_class", "front");
+    json.addProperty("ip", "127.0.0.1");
+    json.addProperty("zone", zone);
+    json.addProperty("region", "r");
+    JsonObject listen = new JsonObject();
+    listen.addProperty("front", "127.0.0.1:" + clientPort);
+    listen.addProperty("ready", "127.0.0.1:" + readyPort);
+    json.add("listen", listen);
+    JsonArray ports = new JsonArray();
+    ports.add(peerPort);
+    ports.add(peerPort);
+    json.add("internal_ports", ports);
+    json.addProperty("heartbeat_ms", Instance.HEARTBEAT_MILLIS);
+    JsonObject bounds = new JsonObject();
+    for (Map.Entry<String, Integer> bound :
+        Map.of("contact_ms", 4000, "drain_ms", 7000, "grace_s", 6, "loss_slack_ms", 200,
+                "config_apply_ms", 3000, "downgrade_slack_ms", 250, "outer_ms", 12000,
+                "recover_s", 12, "thaw_ms", 300)
+            .entrySet()) {
+      bounds.addProperty(bound.getKey(), bound.getValue());
+    }
+    bounds.addProperty("require_fencing", false);
+    json.add("bounds", bounds);
+    JsonObject platform = new JsonObject();
+    platform.addProperty("address", "127.0.0.1:" + storePort);
+    json.add("platform", platform);
+    JsonObject duties = new JsonObject();
+    duties.addProperty("address", "127.0.0.1:" + dutyPort);
+    json.add("cloud_api", duties);
+    return json;
+  }
+
+  void start(Path repository) throws IOException {
+    List<String> command = new ArrayList<>(List.of(Lab.runCommand(repository).split(" ")));
+    ProcessBuilder builder = new ProcessBuilder(command);
+    builder.directory(repository.toFile());
+    Map<String, String> variables = builder.environment();
+    variables.keySet().retainAll(List.of("PATH", "HOME", "JAVA_HOME", "LANG"));
+    variables.put("MIMOSACLEAT_BOOT", settings.toString());
+    builder.redirectErrorStream(true);
+    builder.redirectOutput(ProcessBuilder.Redirect.appendTo(new File(log.toString())));
+    process = builder.start();
+  }
+
+  boolean isAlive() {
+    return process.isAlive();
+  }
+
+  int exitCode() {
+    return process.exitValue();
+  }
+
+  /** Sends SIGTERM. */
+  void terminate() {
+    process.destroy();
+  }
+
+  void end() {
+    if (process != null) {
+      process.destroyForcibly();
+    }
+  }
+}
