--- a/review/standin/review/Lab.java
+++ b/review/standin/review/Lab.java
@@ -20,6 +20,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 
 /**
@@ -40,6 +41,13 @@
   final Path folder;
   final List<Proxy> proxies = new ArrayList<>();
   final Map<String, Relay> storePaths = new HashMap<>();
+
+  /** The tokens of the promotion calls that were taken, in the order of their arrival. */
+  final List<Long> tokens = new CopyOnWriteArrayList<>();
+
+  /** Whether promotion calls are answered with 503. */
+  volatile boolean promotionsFail;
+
   private final Map<String, Relay> paths = new HashMap<>();
   private static final Set<Integer> USED = new HashSet<>();
   private long configurationVersion = 7;
@@ -187,6 +195,11 @@
           journal.say(
               "POST /promote " + id + " by " + exchange.getRequestHeaders().getFirst("X-Duty-Holder")
                   + ", token " + exchange.getRequestHeaders().getFirst("X-Fence-Token"));
+          if (promotionsFail) {
+            Store.answer(exchange, 503, new JsonObject());
+            return;
+          }
+          tokens.add(Long.parseLong(exchange.getRequestHeaders().getFirst("X-Fence-Token")));
           boolean taken = group.promote(id, PROMOTE_MILLIS);
           Store.answer(exchange, taken ? 200 : 409, new JsonObject());
         });
--- a/review/standin/review/Proxy.java
+++ b/review/standin/review/Proxy.java
@@ -94,6 +94,20 @@
     process.destroy();
   }
 
+  /** Freezes the process (SIGSTOP). */
+  void freeze() throws IOException, InterruptedException {
+    signal("-STOP");
+  }
+
+  /** Wakes the frozen process (SIGCONT). */
+  void wake() throws IOException, InterruptedException {
+    signal("-CONT");
+  }
+
+  private void signal(String name) throws IOException, InterruptedException {
+    new ProcessBuilder("kill", name, Long.toString(process.pid())).start().waitFor();
+  }
+
   void end() {
     if (process != null) {
       process.destroyForcibly();
--- a/review/standin/review/Store.java
+++ b/review/standin/review/Store.java
@@ -31,6 +31,13 @@
     String translate(String table, String key, String address);
   }
 
+  /** Is told of each change by a proxy, after it was made and before it is answered. */
+  interface Watcher {
+    void changed(String machine, String table, String value);
+  }
+
+  volatile Watcher watcher = (machine, table, value) -> {};
+
   Store(Journal journal) {
     this.journal = journal;
   }
@@ -150,6 +157,13 @@
       status = holds ? 200 : 412;
       reply = page(present);
     }
+    if (status == 200) {
+      for (JsonElement element : call.getAsJsonArray("writes")) {
+        JsonObject write = element.getAsJsonObject();
+        byte[] value = Base64.getDecoder().decode(text(write, "value"));
+        watcher.changed(machine, text(write, "table"), new String(value, StandardCharsets.UTF_8));
+      }
+    }
     answer(exchange, status, reply);
   }
 
