--- a/review/standin/review/Case1.java
+++ b/review/standin/review/Case1.java
@@ -26,7 +26,8 @@
     lab.start();
     for (Proxy proxy : lab.proxies) {
       try (Client client = lab.client("warm-up", proxy, Lab.PRIMARY_DATABASE)) {
-        lab.await("a write succeeds at " + proxy.name, 10_000, () -> client.query("WRITE w0 warm").ok());
+        lab.await(
+            "a write succeeds at " + proxy.name, 10_000, () -> client.query("WRITE w0 warm").ok());
       }
     }
     lab.keepWriting(other, 100);
@@ -47,13 +48,17 @@
     primaryCut.addAll(lab.pathsBetween(last.name, old.id));
     if (Lab.troubled()) {
       lab.cut(machineCut);
-      journal.say("node_cut begins: " + cutOff.name + " is cut off from the store and the other proxies");
+      journal.say(
+          "node_cut begins: " + cutOff.name + " is cut off from the store and the other proxies");
     }
     lab.sleepUntil(start + 6_000);
     if (Lab.troubled()) {
       lab.cut(primaryCut);
       old.partedFrom.addAll(List.of(second, third));
-      journal.say("primary_cut begins: " + old.id + " is cut off from its replicas and from two of three proxies");
+      journal.say(
+          "primary_cut begins: "
+              + old.id
+              + " is cut off from its replicas and from two of three proxies");
     }
     lab.sleepUntil(start + 8_400);
     boolean begun = client.query("BEGIN").ok();
@@ -90,7 +95,16 @@
     boolean atOld = acknowledged && reply.signature().startsWith(old.id);
     long promoted = Math.max(second.promotedAt, third.promotedAt);
     boolean kept = second.log().stream().anyMatch(entry -> entry.id().equals(commit));
-    journal.say("promotion took effect at " + promoted + ", COMMIT sent at " + commitAt + ", acknowledged: " + acknowledged + (acknowledged ? " by " + reply.signature() : "") + ", kept: " + kept);
+    journal.say(
+        "promotion took effect at "
+            + promoted
+            + ", COMMIT sent at "
+            + commitAt
+            + ", acknowledged: "
+            + acknowledged
+            + (acknowledged ? " by " + reply.signature() : "")
+            + ", kept: "
+            + kept);
     if (Lab.troubled() && promoted < 0) {
       throw new Lab.CannotRun("the primary was not replaced");
     }
--- a/review/standin/review/Case2.java
+++ b/review/standin/review/Case2.java
@@ -45,21 +45,38 @@
     if (!Lab.troubled()) {
       Thread.sleep(3_000);
       List<String> kept = behind.log().stream().map(Group.Entry::id).toList();
-      journal.say("acknowledged " + acknowledged.size() + "; nothing was promoted: "
-          + (complete.promotedAt < 0 && behind.promotedAt < 0));
+      journal.say(
+          "acknowledged "
+              + acknowledged.size()
+              + "; nothing was promoted: "
+              + (complete.promotedAt < 0 && behind.promotedAt < 0));
       return acknowledged.size() == 20 && kept.containsAll(acknowledged);
     }
     primary.crash();
     long crashedAt = journal.now();
     lab.keepWriting(proxy, 100);
-    lab.await("another instance was promoted", 25_000,
+    lab.await(
+        "another instance was promoted",
+        25_000,
         () -> complete.promotedAt > 0 || behind.promotedAt > 0);
     Instance next = behind.promotedAt > 0 ? behind : complete;
     List<String> kept = next.log().stream().map(Group.Entry::id).toList();
     List<String> lost = acknowledged.stream().filter(id -> !kept.contains(id)).toList();
-    journal.say("promoted " + next.id + " " + (journal.now() - crashedAt) + " ms after the crash; draining "
-        + complete.id + " has " + complete.received() + "; acknowledged " + acknowledged.size()
-        + ", of these not in the log of the promoted instance: " + lost.size() + " " + lost);
+    journal.say(
+        "promoted "
+            + next.id
+            + " "
+            + (journal.now() - crashedAt)
+            + " ms after the crash; draining "
+            + complete.id
+            + " has "
+            + complete.received()
+            + "; acknowledged "
+            + acknowledged.size()
+            + ", of these not in the log of the promoted instance: "
+            + lost.size()
+            + " "
+            + lost);
     if (acknowledged.isEmpty()) {
       throw new Lab.CannotRun("no write was acknowledged");
     }
--- a/review/standin/review/Case3.java
+++ b/review/standin/review/Case3.java
@@ -54,8 +54,17 @@
       }
       Thread.sleep(40);
     }
-    journal.say("reads run at " + leaving.id + " later than " + DRAIN_MILLIS + " ms after its report: " + late
-        + "; reads at the new instance: " + atReplacement + "; failed: " + failed);
+    journal.say(
+        "reads run at "
+            + leaving.id
+            + " later than "
+            + DRAIN_MILLIS
+            + " ms after its report: "
+            + late
+            + "; reads at the new instance: "
+            + atReplacement
+            + "; failed: "
+            + failed);
     return late == 0;
   }
 }
--- a/review/standin/review/Case4.java
+++ b/review/standin/review/Case4.java
@@ -31,7 +31,13 @@
       changed |= entry.id().equals(first) && !entry.data().equals(data);
       smuggled |= entry.id().equals("smuggled");
     }
-    journal.say("answer: " + reply + "; text changed: " + changed + "; smuggled statement run: " + smuggled);
+    journal.say(
+        "answer: "
+            + reply
+            + "; text changed: "
+            + changed
+            + "; smuggled statement run: "
+            + smuggled);
     if (!Lab.troubled() && primary.log().stream().noneMatch(entry -> entry.data().equals(data))) {
       return false;
     }
--- a/review/standin/review/Case5.java
+++ b/review/standin/review/Case5.java
@@ -30,7 +30,8 @@
     lab.start();
     for (Proxy proxy : lab.proxies) {
       try (Client client = lab.client("warm-up", proxy, Lab.PRIMARY_DATABASE)) {
-        lab.await("a write succeeds at " + proxy.name, 10_000, () -> client.query("WRITE w0 warm").ok());
+        lab.await(
+            "a write succeeds at " + proxy.name, 10_000, () -> client.query("WRITE w0 warm").ok());
       }
       lab.keepWriting(proxy, 100);
     }
@@ -40,7 +41,8 @@
     lab.promotionsFail = Lab.troubled();
     if (Lab.troubled()) {
       journal.say("promotion calls are answered with 503 from now on");
-      lab.store.watcher = (machine, table, value) -> onChange(lab, machine, table, value, claimed, frozen);
+      lab.store.watcher =
+          (machine, table, value) -> onChange(lab, machine, table, value, claimed, frozen);
     }
     primary.drain();
     lab.await("a primary was promoted", 20_000, () -> !lab.tokens.isEmpty());
@@ -60,7 +62,12 @@
 
   /** Freezes the holder when it renews its claim, and lets the promotion call work again. */
   private static void onChange(
-      Lab lab, String machine, String table, String value, AtomicReference<String> claimed, AtomicReference<String> frozen) {
+      Lab lab,
+      String machine,
+      String table,
+      String value,
+      AtomicReference<String> claimed,
+      AtomicReference<String> frozen) {
     if (!table.equals("primaries")) {
       return;
     }
@@ -72,10 +79,14 @@
     if (!machine.equals(claimed.get()) || !frozen.compareAndSet(null, machine)) {
       return;
     }
-    Proxy holder = lab.proxies.stream().filter(proxy -> proxy.name.equals(machine)).findFirst().orElseThrow();
+    Proxy holder =
+        lab.proxies.stream().filter(proxy -> proxy.name.equals(machine)).findFirst().orElseThrow();
     try {
       holder.freeze();
-      lab.journal.say("node_freeze (renewed): " + machine + " is frozen as the answer to its renewal is on the way");
+      lab.journal.say(
+          "node_freeze (renewed): "
+              + machine
+              + " is frozen as the answer to its renewal is on the way");
       lab.promotionsFail = false;
       lab.journal.say("promotion calls work again");
     } catch (IOException | InterruptedException failed) {
--- a/review/standin/review/Client.java
+++ b/review/standin/review/Client.java
@@ -68,7 +68,16 @@
         error = line.substring(4);
       } else if (line.startsWith("READY ")) {
         Reply reply = new Reply(rows, signature, error, line.substring(6));
-        journal.line(name + " got " + id + ": " + (error == null ? "DONE " + signature : "ERR " + error) + ", rows " + rows.size() + ", " + line);
+        journal.line(
+            name
+                + " got "
+                + id
+                + ": "
+                + (error == null ? "DONE " + signature : "ERR " + error)
+                + ", rows "
+                + rows.size()
+                + ", "
+                + line);
         return reply;
       } else {
         throw new IOException("unknown line " + line);
--- a/review/standin/review/Group.java
+++ b/review/standin/review/Group.java
@@ -50,7 +50,13 @@
     latestTerm++;
     next.term = latestTerm;
     next.primary = true;
-    journal.say("promotion took effect: " + next.id + " leads term " + next.term + " from " + next.received());
+    journal.say(
+        "promotion took effect: "
+            + next.id
+            + " leads term "
+            + next.term
+            + " from "
+            + next.received());
     next.promotedAt = journal.now();
     next.report();
     for (Instance other : instances) {
@@ -65,7 +71,9 @@
   synchronized void reconcile() {
     Instance leader = null;
     for (Instance candidate : instances) {
-      if (candidate.running && candidate.primary && (leader == null || candidate.term > leader.term)) {
+      if (candidate.running
+          && candidate.primary
+          && (leader == null || candidate.term > leader.term)) {
         leader = candidate;
       }
     }
--- a/review/standin/review/Instance.java
+++ b/review/standin/review/Instance.java
@@ -1,7 +1,6 @@
 package review;
 
 import com.google.gson.JsonObject;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -220,7 +219,11 @@
 
   private void replicate() {
     for (Instance other : group.instances) {
-      if (other != this && other.running && !other.primary && other.term <= term && !isPartedFrom(other)) {
+      if (other != this
+          && other.running
+          && !other.primary
+          && other.term <= term
+          && !isPartedFrom(other)) {
         other.follow(this);
       }
     }
@@ -229,7 +232,11 @@
   private int receivers(int size) {
     int count = 0;
     for (Instance other : group.instances) {
-      if (other != this && other.running && !other.primary && other.log.size() >= size && other.term == term) {
+      if (other != this
+          && other.running
+          && !other.primary
+          && other.log.size() >= size
+          && other.term == term) {
         count++;
       }
     }
@@ -255,7 +262,9 @@
         in = new java.io.BufferedInputStream(socket.getInputStream());
         out = socket.getOutputStream();
         String[] start = readLine().split(" ");
-        if (!start[0].equals("START") || !start[1].equals(group.service) || (start.length > 3 && !start[3].equals(id))) {
+        if (!start[0].equals("START")
+            || !start[1].equals(group.service)
+            || (start.length > 3 && !start[3].equals(id))) {
           send("ERR MISROUTED " + id + "\r\n");
           return;
         }
@@ -469,7 +478,12 @@
     }
 
     private String statusRow() {
-      return (primary ? "primary " : "replica ") + term + " " + received() + " 0 0 0 " + connections.size();
+      return (primary ? "primary " : "replica ")
+          + term
+          + " "
+          + received()
+          + " 0 0 0 "
+          + connections.size();
     }
 
     private String signature() {
--- a/review/standin/review/Lab.java
+++ b/review/standin/review/Lab.java
@@ -4,6 +4,7 @@
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
 import com.sun.net.httpserver.HttpServer;
+import java.io.File;
 import java.io.IOException;
 import java.net.HttpURLConnection;
 import java.net.InetAddress;
@@ -107,7 +108,8 @@
     store.put("op", "config", config);
   }
 
-  private static JsonObject route(String name, String host, String kind, int timeout, int objective, int priority) {
+  private static JsonObject route(
+      String name, String host, String kind, int timeout, int objective, int priority) {
     JsonObject route = new JsonObject();
     route.addProperty("name", name);
     route.addProperty("host", host);
@@ -143,7 +145,8 @@
       return address;
     }
     try {
-      return path(machine, key, Integer.parseInt(address.substring(address.indexOf(':') + 1))).address();
+      return path(machine, key, Integer.parseInt(address.substring(address.indexOf(':') + 1)))
+          .address();
     } catch (IOException failed) {
       throw new IllegalStateException(failed);
     }
@@ -189,12 +192,17 @@
     server.createContext(
         "/promote",
         exchange -> {
-          String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
+          String body =
+              new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
           JsonObject call = JsonParser.parseString(body).getAsJsonObject();
           String id = call.get("id").getAsString();
           journal.say(
-              "POST /promote " + id + " by " + exchange.getRequestHeaders().getFirst("X-Duty-Holder")
-                  + ", token " + exchange.getRequestHeaders().getFirst("X-Fence-Token"));
+              "POST /promote "
+                  + id
+                  + " by "
+                  + exchange.getRequestHeaders().getFirst("X-Duty-Holder")
+                  + ", token "
+                  + exchange.getRequestHeaders().getFirst("X-Fence-Token"));
           if (promotionsFail) {
             Store.answer(exchange, 503, new JsonObject());
             return;
@@ -219,7 +227,10 @@
   static boolean isReady(Proxy proxy) {
     try {
       HttpURLConnection call =
-          (HttpURLConnection) URI.create("http://127.0.0.1:" + proxy.readyPort + "/readiness").toURL().openConnection();
+          (HttpURLConnection)
+              URI.create("http://127.0.0.1:" + proxy.readyPort + "/readiness")
+                  .toURL()
+                  .openConnection();
       call.setConnectTimeout(500);
       call.setReadTimeout(1_000);
       return call.getResponseCode() == 200;
@@ -272,6 +283,15 @@
     proxies.forEach(Proxy::end);
   }
 
+  /** Deletes the settings and logs of the proxies. */
+  private void deleteFolder() {
+    File[] files = folder.toFile().listFiles();
+    for (File file : files == null ? new File[0] : files) {
+      file.delete();
+    }
+    folder.toFile().delete();
+  }
+
   /** The case could not be brought about. */
   static final class CannotRun extends Exception {
     CannotRun(String message) {
@@ -284,7 +304,9 @@
     boolean holds(Lab lab) throws Exception;
   }
 
-  /** Runs a case and exits with 0 if the rule held, 1 if it was broken, 2 if the case couldn't run. */
+  /**
+   * Runs a case and exits with 0 if the rule held, 1 if it was broken, 2 if the case couldn't run.
+   */
   static void run(Path caseFolder, int syncReplicas, Case body) throws IOException {
     int code;
     Lab lab = new Lab(caseFolder, syncReplicas);
@@ -301,6 +323,8 @@
     lab.close();
     if (System.getenv("KEEP_LOGS") != null) {
       System.out.println("logs in " + lab.folder);
+    } else {
+      lab.deleteFolder();
     }
     Runtime.getRuntime().halt(code);
   }
--- a/review/standin/review/Proxy.java
+++ b/review/standin/review/Proxy.java
@@ -52,9 +52,25 @@
     json.addProperty("heartbeat_ms", Instance.HEARTBEAT_MILLIS);
     JsonObject bounds = new JsonObject();
     for (Map.Entry<String, Integer> bound :
-        Map.of("contact_ms", 4000, "drain_ms", 7000, "grace_s", 6, "loss_slack_ms", 200,
-                "config_apply_ms", 3000, "downgrade_slack_ms", 250, "outer_ms", 12000,
-                "recover_s", 12, "thaw_ms", 300)
+        Map.of(
+                "contact_ms",
+                4000,
+                "drain_ms",
+                7000,
+                "grace_s",
+                6,
+                "loss_slack_ms",
+                200,
+                "config_apply_ms",
+                3000,
+                "downgrade_slack_ms",
+                250,
+                "outer_ms",
+                12000,
+                "recover_s",
+                12,
+                "thaw_ms",
+                300)
             .entrySet()) {
       bounds.addProperty(bound.getKey(), bound.getValue());
     }
--- a/review/standin/review/Relay.java
+++ b/review/standin/review/Relay.java
@@ -11,8 +11,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * One network path on loopback. A cut resets the open connections and refuses new ones, as a cut
- * of the kind "refuse" does.
+ * One network path on loopback. A cut resets the open connections and refuses new ones, as a cut of
+ * the kind "refuse" does.
  */
 final class Relay {
   private final int target;
--- a/review/standin/review/Store.java
+++ b/review/standin/review/Store.java
@@ -15,7 +15,6 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.Executors;
-import java.util.function.UnaryOperator;
 
 /** The platform's metadata store: rows, conditional transactions and feeds, as PROTOCOL.md says. */
 final class Store {
@@ -79,7 +78,8 @@
     String table = query.get("table");
     JsonArray rows = new JsonArray();
     boolean more = false;
-    for (Map.Entry<String, Row> entry : table(table).tailMap(query.getOrDefault("from", ""), true).entrySet()) {
+    for (Map.Entry<String, Row> entry :
+        table(table).tailMap(query.getOrDefault("from", ""), true).entrySet()) {
       if (entry.getValue().removed()) {
         continue;
       }
@@ -143,14 +143,23 @@
           byte[] value = Base64.getDecoder().decode(text(write, "value"));
           table(text(write, "table")).put(text(write, "key"), new Row(value, version, false));
           if (!text(write, "table").equals("proxies")) {
-            journal.line("store: " + machine + " wrote " + text(write, "table") + "/" + text(write, "key") + " " + new String(value, StandardCharsets.UTF_8));
+            journal.line(
+                "store: "
+                    + machine
+                    + " wrote "
+                    + text(write, "table")
+                    + "/"
+                    + text(write, "key")
+                    + " "
+                    + new String(value, StandardCharsets.UTF_8));
           } else {
             onLease(text(write, "key"));
           }
         }
         for (JsonElement element : call.getAsJsonArray("remove")) {
           JsonObject removal = element.getAsJsonObject();
-          table(text(removal, "table")).put(text(removal, "key"), new Row(new byte[0], version, true));
+          table(text(removal, "table"))
+              .put(text(removal, "key"), new Row(new byte[0], version, true));
         }
         notifyAll();
       }
@@ -194,7 +203,8 @@
     if (row.removed()) {
       json.addProperty("tombstone", true);
     } else {
-      json.addProperty("value", Base64.getEncoder().encodeToString(seen(table, key, row.value(), view)));
+      json.addProperty(
+          "value", Base64.getEncoder().encodeToString(seen(table, key, row.value(), view)));
     }
     json.addProperty("ver", row.version());
     return json;
@@ -205,7 +215,8 @@
       return value;
     }
     try {
-      JsonObject json = JsonParser.parseString(new String(value, StandardCharsets.UTF_8)).getAsJsonObject();
+      JsonObject json =
+          JsonParser.parseString(new String(value, StandardCharsets.UTF_8)).getAsJsonObject();
       if (!json.has("address")) {
         return value;
       }
