--- a/serving/src/main/java/org/mimosacleat/serving/drain/ClientChannels.java
+++ b/serving/src/main/java/org/mimosacleat/serving/drain/ClientChannels.java
@@ -1,7 +1,9 @@
 package org.mimosacleat.serving.drain;
 
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import org.mimosacleat.serving.statement.StatementId;
 
 /** The set of open client connections. */
 public final class ClientChannels {
@@ -22,6 +24,11 @@
     return open.size();
   }
 
+  /** Returns the statements that have been read and not answered. */
+  public List<StatementId> openStatements() {
+    return open.stream().flatMap(channel -> channel.openStatement().stream()).toList();
+  }
+
   /** Closes the connections without an open request or transaction. */
   public void closeIdle() {
     open.forEach(ClientChannel::closeIfIdle);
--- a/serving/src/main/java/org/mimosacleat/serving/drain/Drain.java
+++ b/serving/src/main/java/org/mimosacleat/serving/drain/Drain.java
@@ -5,6 +5,7 @@
 import java.time.InstantSource;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.mimosacleat.core.time.Sleeper;
+import org.tinylog.Logger;
 
 /**
  * Stops a proxy without interrupting requests. It first reports the proxy as not ready and
@@ -61,5 +62,16 @@
       channels.closeIdle();
       sleeper.sleep(CHECK_INTERVAL);
     }
+    logEnd(start);
+  }
+
+  private void logEnd(Instant start) {
+    Logger.info(
+        "drain ended after {} ms: {} client connections open, {} statements running, {} requests of"
+            + " other proxies unfinished",
+        Duration.between(start, clock.instant()).toMillis(),
+        channels.count(),
+        channels.openStatements().size(),
+        relayedWork.unfinished());
   }
 }
