--- a/review/build.sh
+++ b/review/build.sh
@@ -5,4 +5,5 @@
 cd "$(dirname "$0")/.."
 rm -rf target/review
 mkdir -p target/review
-"$(bin/java-home)/bin/javac" -d target/review -cp "$(printf '%s\n' target/app/gson-*.jar)" review/standin/review/*.java
+"$(bin/java-home)/bin/javac" -d target/review -cp "$(printf '%s\n' target/app/gson-*.jar)" \
+  platform/src/test/java/org/mimosacleat/platform/standin/*.java
