Answer a statement that ends by an unexpected exception

The session now logs it and answers INTERNAL, whose outcome is uncertain; an open transaction is rolled back.

Evidence: with the test on the code before, both new cases of SessionTest end by the IllegalStateException of the relay.

--- a/serving/src/main/java/org/mimosacleat/serving/session/Session.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/Session.java
@@ -12,6 +12,7 @@
 import org.mimosacleat.serving.statement.ForwardedStatement;
 import org.mimosacleat.serving.statement.PreparedShape;
 import org.mimosacleat.serving.statement.StatementBody;
+import org.tinylog.Logger;
 
 /**
  * The session of one client. Statements are executed one after the other, by one thread at a time;
@@ -45,13 +46,24 @@
   /** Executes one statement and waits for its answer. */
   public Answer execute(ClientStatement statement) {
     Instant arrivedAt = dependencies.clock().instant();
-    Answer answer = answer(statement);
+    Answer answer = answerSafely(statement);
     dependencies
         .failureLog()
         .logIfFailed(statement, database, dependencies.fleet().snapshot(), answer, arrivedAt);
     return answer;
   }
 
+  /** An unexpected exception ends the statement with an error, never the session without one. */
+  private Answer answerSafely(ClientStatement statement) {
+    try {
+      return answer(statement);
+    } catch (RuntimeException | StackOverflowError | OutOfMemoryError unexpected) {
+      Logger.error(unexpected, "statement {} ended by an unexpected exception", statement.id());
+      abortTransaction();
+      return fail(ErrorKind.INTERNAL, "an internal error; whether the statement ran is not known");
+    }
+  }
+
   private Answer answer(ClientStatement statement) {
     return switch (statement.body()) {
       case StatementBody.Begin(boolean readOnly) -> begin(readOnly);
@@ -74,11 +86,8 @@
     };
   }
 
-  /**
-   * Rolls back a transaction that was idle for too long; the client's next statement reports it as
-   * failed.
-   */
-  public void abortIdleTransaction() {
+  /** Rolls back an open transaction; the client's next statement reports it as failed. */
+  public void abortTransaction() {
     if (transaction != null) {
       transaction.abort();
     }
--- a/serving/src/test/java/org/mimosacleat/serving/session/SessionTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/session/SessionTest.java
@@ -11,9 +11,13 @@
 import org.junit.jupiter.api.Test;
 import org.mimosacleat.core.connection.TransactionStatus;
 import org.mimosacleat.core.error.ErrorKind;
+import org.mimosacleat.core.id.GroupId;
+import org.mimosacleat.core.id.TeamId;
 import org.mimosacleat.serving.ServingFixture;
 import org.mimosacleat.serving.endpoint.EndpointCommand;
 import org.mimosacleat.serving.fleet.EndpointRole;
+import org.mimosacleat.serving.relay.GatewayOrder;
+import org.mimosacleat.serving.relay.Relay;
 import org.mimosacleat.serving.statement.Answer;
 import org.mimosacleat.serving.statement.PreparedShape;
 import org.mimosacleat.serving.statement.StatementBody;
@@ -64,6 +68,29 @@
     assertEquals(before, proxy.clock.instant());
   }
 
+  /** Guards against a connection that ends without an answer, because its thread has ended. */
+  @Test
+  void unexpectedExceptionIsAnsweredAsUncertain() {
+    Session session = new ServingFixture(new FailingRelay()).session(ServingFixture.OWN);
+
+    Answer answer = proxy.write(session);
+
+    assertEquals(ErrorKind.INTERNAL, answer.failure().orElseThrow().kind());
+    assertEquals(TransactionStatus.IDLE, answer.status());
+  }
+
+  @Test
+  void unexpectedExceptionFailsTheTransaction() {
+    Session session = new ServingFixture(new FailingRelay()).session(ServingFixture.OWN);
+    proxy.begin(session, false);
+
+    Answer answer = proxy.write(session);
+
+    assertEquals(ErrorKind.INTERNAL, answer.failure().orElseThrow().kind());
+    assertEquals(TransactionStatus.FAILED, answer.status());
+    assertEquals(ErrorKind.TRANSACTION_LOST, proxy.commit(session).failure().orElseThrow().kind());
+  }
+
   @Test
   void readWithoutKnownPositionRunsInTransactionAtPrimary() {
     Session session = proxy.session(ServingFixture.OWN);
@@ -218,4 +245,17 @@
 
     assertEquals(new EndpointCommand.Rollback(), proxy.primary.commands.getLast());
   }
+
+  /** A relay with a fault. */
+  private static final class FailingRelay implements Relay {
+    @Override
+    public GatewayOrder gatewaysOf(GroupId group, Optional<TeamId> team) {
+      throw new IllegalStateException("unexpected");
+    }
+
+    @Override
+    public boolean isIsolated() {
+      return false;
+    }
+  }
 }
