End each open request with an answer when a drain reaches its deadline

Cause: a drain waited for a moment at which all sessions were closed, until 5.4 s after SIGTERM, and then the process exited whatever was open. Until that moment every request was accepted. A session whose client sends its next request at once is rarely found idle by a check each 20 ms, and while fewer than half of a zone are ready new connections keep arriving, so the deadline is reached with requests open.

Now - new work (sessions, transactions, single statements) is refused with SHUTTING_DOWN, which promises that nothing ran, from half of the grace period on; a statement of an open transaction is run if it can end before the process does, else the transaction is rolled back, which is also a promise; - what is still open at the deadline is answered as uncertain before the process exits. ChannelState decides whether the connection's thread or the drain answers, so that it is exactly one of them; - the check for idle sessions can't close a transaction that begins while it looks (states are compared by identity; before, the status of the transaction and the state were read one after the other), and leaves a session alone that was answered less than 20 ms ago, whose next request may be on its way.

--- a/serving/src/main/java/org/mimosacleat/serving/drain/ClientChannel.java
+++ b/serving/src/main/java/org/mimosacleat/serving/drain/ClientChannel.java
@@ -1,16 +1,27 @@
 package org.mimosacleat.serving.drain;
 
+import java.time.Duration;
 import java.util.Optional;
 import org.mimosacleat.serving.statement.StatementId;
 
 /** A client connection that a drain can close. */
 public interface ClientChannel {
-  /** Closes the connection if no request and no transaction is open on it. */
-  boolean closeIfIdle();
+  /**
+   * Closes the connection if no request and no transaction is open on it.
+   *
+   * @param minimumIdleTime how long it must have waited for a request
+   * @return whether it was closed
+   */
+  boolean closeIfIdle(Duration minimumIdleTime);
 
   /** Returns the statement that has been read and not answered; empty if there is none. */
   Optional<StatementId> openStatement();
 
-  /** Closes the connection immediately, even with an open request or transaction. */
-  void close();
+  /**
+   * Ends the connection: an open request is answered with an error now, even though it may still
+   * run, and then the connection is closed.
+   *
+   * @return false if an answer is just being sent; the connection closes itself after it
+   */
+  boolean end();
 }
--- a/serving/src/main/java/org/mimosacleat/serving/drain/ClientChannels.java
+++ b/serving/src/main/java/org/mimosacleat/serving/drain/ClientChannels.java
@@ -1,8 +1,10 @@
 package org.mimosacleat.serving.drain;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
 import org.mimosacleat.serving.statement.StatementId;
 
 /** The set of open client connections. */
@@ -29,8 +31,19 @@
     return open.stream().flatMap(channel -> channel.openStatement().stream()).toList();
   }
 
-  /** Closes the connections without an open request or transaction. */
-  public void closeIdle() {
-    open.forEach(ClientChannel::closeIfIdle);
+  /** Closes the connections that have waited for a request for some time, outside transactions. */
+  public void closeIdle(Duration minimumIdleTime) {
+    open.forEach(channel -> channel.closeIfIdle(minimumIdleTime));
+  }
+
+  /** Ends all connections, each in a task of its own, because a client may not read its answer. */
+  public void endAll(Executor executor) {
+    open.forEach(channel -> executor.execute(() -> end(channel)));
+  }
+
+  private void end(ClientChannel channel) {
+    if (channel.end()) {
+      remove(channel);
+    }
   }
 }
--- a/serving/src/main/java/org/mimosacleat/serving/drain/Drain.java
+++ b/serving/src/main/java/org/mimosacleat/serving/drain/Drain.java
@@ -1,77 +1,78 @@
 package org.mimosacleat.serving.drain;
 
 import java.time.Duration;
-import java.time.Instant;
-import java.time.InstantSource;
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.Executor;
 import org.mimosacleat.core.time.Sleeper;
 import org.tinylog.Logger;
 
 /**
- * Stops a proxy without interrupting requests. It first reports the proxy as not ready and
+ * Stops a proxy without leaving a request unanswered. It first reports the proxy as not ready and
  * continues to serve until no new clients are expected; then it closes sessions between two
- * requests. Transactions have the first half of the grace period to end.
+ * requests. New work is refused from half of the grace period on, and what is still open at its end
+ * is answered with an error.
  */
 public final class Drain {
   private static final Duration CHECK_INTERVAL = Duration.ofMillis(20);
 
-  /** Part of the grace period that is reserved for the exit of the process. */
-  private static final Duration RESERVE = Duration.ofMillis(600);
+  /** A client that sends its next request at once has sent it by then. */
+  private static final Duration MINIMUM_IDLE_TIME = Duration.ofMillis(20);
 
+  private final DrainProgress progress;
   private final ClientChannels channels;
   private final RelayedWork relayedWork;
-  private final InstantSource clock;
+  private final Executor executor;
   private final Sleeper sleeper;
-  private final DrainTimes times;
-  private final AtomicBoolean started = new AtomicBoolean();
 
   /** Creates a drain that has not started. */
   public Drain(
+      DrainProgress progress,
       ClientChannels channels,
       RelayedWork relayedWork,
-      InstantSource clock,
-      Sleeper sleeper,
-      DrainTimes times) {
+      Executor executor,
+      Sleeper sleeper) {
+    this.progress = progress;
     this.channels = channels;
     this.relayedWork = relayedWork;
-    this.clock = clock;
+    this.executor = executor;
     this.sleeper = sleeper;
-    this.times = times;
   }
 
-  /** Returns whether the proxy is draining and so must not report itself as ready. */
-  public boolean hasStarted() {
-    return started.get();
+  /**
+   * Drains; returns when no connection is open, or what was open at the end of the grace period is
+   * answered.
+   */
+  public void run() {
+    progress.start();
+    relayedWork.refuseNew();
+    while (progress.expectsClients()) {
+      sleeper.sleep(CHECK_INTERVAL);
+    }
+    finishWork();
+    endOpenWork();
   }
 
   private boolean hasWork() {
     return channels.count() > 0 || relayedWork.unfinished() > 0;
   }
 
-  /** Drains; returns when no connection is open or only the reserve of the grace period is left. */
-  public void run() {
-    started.set(true);
-    relayedWork.refuseNew();
-    Instant start = clock.instant();
-    Instant closingStart = start.plus(times.readinessDelay());
-    Instant deadline = start.plus(times.grace()).minus(RESERVE);
-    while (clock.instant().isBefore(closingStart)) {
-      sleeper.sleep(CHECK_INTERVAL);
-    }
-    while (hasWork() && clock.instant().isBefore(deadline)) {
-      channels.closeIdle();
+  private void finishWork() {
+    while (hasWork() && progress.allowsWork()) {
+      channels.closeIdle(progress.takesNewWork() ? MINIMUM_IDLE_TIME : Duration.ZERO);
       sleeper.sleep(CHECK_INTERVAL);
     }
-    logEnd(start);
   }
 
-  private void logEnd(Instant start) {
+  private void endOpenWork() {
     Logger.info(
         "drain ended after {} ms: {} client connections open, {} statements running, {} requests of"
             + " other proxies unfinished",
-        Duration.between(start, clock.instant()).toMillis(),
+        progress.elapsed().toMillis(),
         channels.count(),
         channels.openStatements().size(),
         relayedWork.unfinished());
+    channels.endAll(executor);
+    while (channels.count() > 0 && !progress.timeUntilExit().isZero()) {
+      sleeper.sleep(CHECK_INTERVAL);
+    }
   }
 }
--- a/serving/src/main/java/org/mimosacleat/serving/session/RoutedTransaction.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/RoutedTransaction.java
@@ -59,6 +59,9 @@
     if (failed) {
       return refuse(ErrorKind.PROTOCOL_VIOLATION, "the transaction has failed; roll it back");
     }
+    if (!canFinish()) {
+      return stop();
+    }
     Answer answer = own != null ? own.run(statement) : runRelayed(statement);
     failed = !answer.isDone();
     wrote = wrote || statement.writes();
@@ -125,8 +128,21 @@
     return Optional.empty();
   }
 
+  private boolean canFinish() {
+    return dependencies.drain().canFinish(route.statementTimeout());
+  }
+
+  /** Rolls back because the proxy stops before a statement of the transaction would have ended. */
+  private Answer stop() {
+    rollback();
+    return refuse(ErrorKind.TRANSACTION_LOST, "rolled back: the proxy is stopping");
+  }
+
   @Override
   public Answer commit(ForwardedStatement statement) {
+    if (!canFinish()) {
+      return stop().withStatus(TransactionStatus.IDLE);
+    }
     if (gateway == null && own == null) {
       // A commit of a transaction whose first statement was refused must not be acknowledged.
       if (failed) {
--- a/serving/src/main/java/org/mimosacleat/serving/session/Session.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/Session.java
@@ -106,7 +106,7 @@
     if (transaction != null) {
       return fail(ErrorKind.PROTOCOL_VIOLATION, "a transaction is already open");
     }
-    Either<Failure, Route> route = admission.admit();
+    Either<Failure, Route> route = admitNewWork();
     if (route.isLeft()) {
       return Answer.failed(route.getLeft(), TransactionStatus.IDLE);
     }
@@ -147,13 +147,18 @@
     if (transaction != null) {
       return transaction.run(statement);
     }
-    return admission
-        .admit()
+    return admitNewWork()
         .fold(
             refusal -> Answer.failed(refusal, TransactionStatus.IDLE),
             route -> statements.run(statement, route));
   }
 
+  private Either<Failure, Route> admitNewWork() {
+    return dependencies.drain().takesNewWork()
+        ? admission.admit()
+        : Either.left(SessionDependencies.STOPPING);
+  }
+
   private Answer answerLocally(boolean accepted, String refusal) {
     if (status() == TransactionStatus.FAILED) {
       return fail(ErrorKind.PROTOCOL_VIOLATION, "the transaction has failed; roll it back");
--- a/serving/src/main/java/org/mimosacleat/serving/session/SessionDependencies.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/SessionDependencies.java
@@ -4,9 +4,11 @@
 import java.time.InstantSource;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
+import org.mimosacleat.core.error.ErrorKind;
 import org.mimosacleat.core.error.Failure;
 import org.mimosacleat.core.id.TeamId;
 import org.mimosacleat.serving.access.AccessControl;
+import org.mimosacleat.serving.drain.DrainProgress;
 import org.mimosacleat.serving.fleet.FleetState;
 import org.mimosacleat.serving.limits.TeamLimits;
 import org.mimosacleat.serving.relay.Relay;
@@ -27,6 +29,7 @@
  * @param failureLog logs statements that failed
  * @param transactionNumbers numbers the transactions of this proxy
  * @param limits admits the operations of teams
+ * @param drain which work is still begun while the proxy stops
  * @param clock the clock for all deadlines
  */
 record SessionDependencies(
@@ -40,7 +43,12 @@
     FailureLog failureLog,
     AtomicLong transactionNumbers,
     TeamLimits limits,
+    DrainProgress drain,
     InstantSource clock) {
+  /** The refusal of new work while the proxy stops. */
+  static final Failure STOPPING =
+      new Failure(ErrorKind.SHUTTING_DOWN, "the proxy is stopping and takes no new work");
+
   /** Admits one operation of a session, whose caller may have no team. */
   Either<Failure, Void> admit(SessionState session) {
     Optional<TeamId> team = session.team();
--- a/serving/src/main/java/org/mimosacleat/serving/session/Sessions.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/Sessions.java
@@ -11,6 +11,8 @@
 import org.mimosacleat.core.error.Failure;
 import org.mimosacleat.core.time.Sleeper;
 import org.mimosacleat.serving.access.AccessControl;
+import org.mimosacleat.serving.drain.DrainProgress;
+import org.mimosacleat.serving.drain.DrainTimes;
 import org.mimosacleat.serving.fleet.ApiKey;
 import org.mimosacleat.serving.fleet.Configuration;
 import org.mimosacleat.serving.fleet.DatabaseName;
@@ -31,7 +33,7 @@
   private final SessionDependencies dependencies;
   private final Sleeper sleeper;
 
-  /** Creates the factory with what all sessions share, without limits of teams. */
+  /** Creates the factory of a proxy that never drains, without limits of teams. */
   public Sessions(
       FleetState fleet,
       AccessControl access,
@@ -50,6 +52,7 @@
         suspicionListener,
         relay,
         TeamLimits.UNLIMITED,
+        new DrainProgress(clock, new DrainTimes(Duration.ZERO, START_TIMEOUT)),
         clock,
         random,
         sleeper);
@@ -64,6 +67,7 @@
       PrimarySuspicionListener suspicionListener,
       Relay relay,
       TeamLimits limits,
+      DrainProgress drain,
       InstantSource clock,
       RandomGenerator random,
       Sleeper sleeper) {
@@ -80,6 +84,7 @@
             new FailureLog(clock),
             new AtomicLong(),
             limits,
+            drain,
             clock);
   }
 
@@ -90,9 +95,13 @@
    * @param database the database
    * @param key the caller's API key, if it sent one
    * @return the session, or AUTHENTICATION_FAILED for an unknown key, UNAVAILABLE if there is no
-   *     configuration or it may be too old to admit keys, UNKNOWN_GROUP for an unknown database
+   *     configuration or it may be too old to admit keys, UNKNOWN_GROUP for an unknown database,
+   *     SHUTTING_DOWN if the proxy takes no new work
    */
   public Either<Failure, Session> open(DatabaseName database, Optional<ApiKey> key) {
+    if (!dependencies.drain().takesNewWork()) {
+      return Either.left(SessionDependencies.STOPPING);
+    }
     Optional<Configuration> configuration = awaitConfiguration();
     if (configuration.isEmpty()) {
       return Either.left(new Failure(ErrorKind.UNAVAILABLE, "the proxy has no configuration yet"));
--- a/serving/src/test/java/org/mimosacleat/serving/ServingFixture.java
+++ b/serving/src/test/java/org/mimosacleat/serving/ServingFixture.java
@@ -15,6 +15,8 @@
 import org.mimosacleat.core.time.PausedClock;
 import org.mimosacleat.serving.access.AccessControl;
 import org.mimosacleat.serving.access.AccessSettings;
+import org.mimosacleat.serving.drain.DrainProgress;
+import org.mimosacleat.serving.drain.DrainTimes;
 import org.mimosacleat.serving.endpoint.ConnectionShare;
 import org.mimosacleat.serving.endpoint.EndpointConnection;
 import org.mimosacleat.serving.endpoint.EndpointDialer;
@@ -88,6 +90,8 @@
           new Random(1));
 
   public TeamLimits limits = TeamLimits.UNLIMITED;
+  public final DrainProgress drain =
+      new DrainProgress(clock, new DrainTimes(Duration.ofMillis(2_300), Duration.ofSeconds(6)));
   public final Sessions sessions;
   private int statements;
 
@@ -112,6 +116,7 @@
             (_, endpoint, reason) -> suspicions.add(endpoint + ": " + reason),
             relay,
             team -> limits.admit(team),
+            drain,
             clock,
             new Random(1),
             clock::advance);
--- /dev/null
+++ b/serving/src/test/java/org/mimosacleat/serving/drain/ChannelStateTest.java
@@ -0,0 +1,102 @@
+package org.mimosacleat.serving.drain;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.mimosacleat.core.time.PausedClock;
+import org.mimosacleat.serving.statement.StatementId;
+
+class ChannelStateTest {
+  private static final Optional<StatementId> STATEMENT = Optional.of(new StatementId("s1"));
+
+  private final PausedClock clock = new PausedClock();
+  private final ChannelState state = new ChannelState(clock);
+
+  private boolean endIfIdle() {
+    return state.endIfIdle(Duration.ZERO, () -> false);
+  }
+
+  private void answerOne(boolean inTransaction) {
+    assertTrue(state.requestRead(STATEMENT));
+    assertTrue(state.beginAnswer());
+    assertTrue(state.answered(inTransaction));
+  }
+
+  @Test
+  void idleConnectionEndsOnce() {
+    assertTrue(endIfIdle());
+    assertFalse(endIfIdle());
+    assertFalse(state.requestRead(STATEMENT));
+  }
+
+  @Test
+  void connectionThatIsNotIdleForLongEnoughStaysOpen() {
+    answerOne(false);
+    clock.advance(Duration.ofMillis(19));
+
+    assertFalse(state.endIfIdle(Duration.ofMillis(20), () -> false));
+    clock.advance(Duration.ofMillis(1));
+
+    assertTrue(state.endIfIdle(Duration.ofMillis(20), () -> false));
+  }
+
+  @Test
+  void connectionWithUnreadInputStaysOpen() {
+    assertFalse(state.endIfIdle(Duration.ZERO, () -> true));
+  }
+
+  @Test
+  void openTransactionStaysOpen() {
+    answerOne(true);
+
+    assertFalse(endIfIdle());
+  }
+
+  /**
+   * Guards against a drain that closes a transaction which began while it looked at the session.
+   */
+  @Test
+  void transactionThatBeginsDuringTheCheckStaysOpen() {
+    boolean ended =
+        state.endIfIdle(
+            Duration.ZERO,
+            () -> {
+              answerOne(true);
+              return false;
+            });
+
+    assertFalse(ended);
+  }
+
+  /** Guards against two answers to one request, and against none. */
+  @Test
+  void openRequestIsAnsweredByTheDrainOnly() {
+    assertTrue(state.requestRead(STATEMENT));
+    assertEquals(STATEMENT, state.openStatement());
+
+    assertEquals(ChannelState.Ending.REQUEST_OPEN, state.end());
+    assertFalse(state.beginAnswer());
+    assertEquals(ChannelState.Ending.ENDED, state.end());
+  }
+
+  @Test
+  void answerThatIsBeingSentIsTheLastOne() {
+    assertTrue(state.requestRead(STATEMENT));
+    assertTrue(state.beginAnswer());
+
+    assertEquals(ChannelState.Ending.ANSWERING, state.end());
+    assertFalse(state.answered(false));
+  }
+
+  @Test
+  void idleTransactionEnds() {
+    answerOne(true);
+
+    assertEquals(ChannelState.Ending.IDLE, state.end());
+    assertFalse(state.requestRead(STATEMENT));
+  }
+}
