--- a/serving/src/main/java/org/mimosacleat/serving/drain/Drain.java
+++ b/serving/src/main/java/org/mimosacleat/serving/drain/Drain.java
@@ -38,16 +38,20 @@
   }
 
   /**
-   * Drains; returns when no connection is open, or what was open at the end of the grace period is
-   * answered.
+   * Drains; when this returns no client connection is open, and none can be opened.
+   *
+   * @param stopAccepting stops accepting client connections; those that were accepted before must
+   *     be among the channels when it returns
    */
-  public void run() {
+  public void run(Runnable stopAccepting) {
     progress.start();
     relayedWork.refuseNew();
     while (progress.expectsClients()) {
       sleeper.sleep(CHECK_INTERVAL);
     }
     finishWork();
+    stopAccepting.run();
+    finishWork();
     endOpenWork();
   }
 
--- a/serving/src/main/java/org/mimosacleat/serving/network/ConnectionListener.java
+++ b/serving/src/main/java/org/mimosacleat/serving/network/ConnectionListener.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
+import java.util.function.Function;
 import org.mimosacleat.core.time.Sleeper;
 import org.tinylog.Logger;
 
@@ -25,12 +25,15 @@
 
   private final ServerSocket listener;
   private final ExecutorService executor;
-  private final Consumer<Socket> handler;
+  private final Function<Socket, Runnable> handler;
   private final Sleeper sleeper;
   private final CountDownLatch ended = new CountDownLatch(1);
 
   private ConnectionListener(
-      ServerSocket listener, ExecutorService executor, Consumer<Socket> handler, Sleeper sleeper) {
+      ServerSocket listener,
+      ExecutorService executor,
+      Function<Socket, Runnable> handler,
+      Sleeper sleeper) {
     this.listener = listener;
     this.executor = executor;
     this.handler = handler;
@@ -40,12 +43,13 @@
   /**
    * Listens on an address.
    *
-   * @param handler serves one connection, and closes it
+   * @param handler takes an accepted connection, without blocking, and returns the task that serves
+   *     and closes it; all accepted connections are taken when {@link #close} returns
    */
   public static ConnectionListener start(
       InetSocketAddress address,
       ExecutorService executor,
-      Consumer<Socket> handler,
+      Function<Socket, Runnable> handler,
       Sleeper sleeper)
       throws IOException {
     ServerSocket socket = new ServerSocket();
@@ -66,12 +70,14 @@
    * it waits in the socket, the system goes on to admit connections, which nobody would serve.
    */
   @Override
-  public void close() throws IOException {
-    listener.close();
+  public void close() {
     try {
+      listener.close();
       if (!ended.await(CLOSE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)) {
         Logger.warn("listener at {} is not closed after {}", address(), CLOSE_TIMEOUT);
       }
+    } catch (IOException failed) {
+      Logger.warn("listener at {} could not be closed: {}", address(), failed.getMessage());
     } catch (InterruptedException interrupted) {
       Thread.currentThread().interrupt();
     }
@@ -89,7 +95,7 @@
     while (!listener.isClosed()) {
       try {
         Socket socket = listener.accept();
-        executor.execute(() -> handler.accept(socket));
+        executor.execute(handler.apply(socket));
       } catch (IOException failed) {
         if (!listener.isClosed()) {
           Logger.warn("connection could not be accepted: {}", failed.getMessage());
--- a/serving/src/main/java/org/mimosacleat/serving/peer/PeerServer.java
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/PeerServer.java
@@ -92,18 +92,16 @@
             limitCoordinator,
             executor,
             renewals);
-    server.listener = ConnectionListener.start(address, executor, server::serve, Sleeper.SYSTEM);
+    server.listener =
+        ConnectionListener.start(
+            address, executor, socket -> () -> server.serve(socket), Sleeper.SYSTEM);
     return server;
   }
 
   @Override
   public void refuseNew() {
     leaving = true;
-    try {
-      listener.close();
-    } catch (IOException failed) {
-      Logger.warn("the listener for other proxies could not be closed: {}", failed.getMessage());
-    }
+    listener.close();
     sessions.forEach(PeerSession::leave);
   }
 
--- a/serving/src/test/java/org/mimosacleat/serving/drain/DrainTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/drain/DrainTest.java
@@ -39,7 +39,7 @@
 
   @Test
   void idleProxyServesUntilNoClientsAreExpected() {
-    drain.run();
+    drain.run(() -> {});
 
     assertEquals(READINESS_DELAY, elapsed());
   }
@@ -51,7 +51,7 @@
     steps.add(
         () -> assertEquals(elapsed().compareTo(READINESS_DELAY) <= 0 ? 1 : 0, channels.count()));
 
-    drain.run();
+    drain.run(() -> {});
 
     assertFalse(channel.ended);
   }
@@ -61,13 +61,27 @@
   void requestThatRunsAtTheDeadlineIsEndedWithAnAnswer() {
     FakeChannel channel = new FakeChannel(channels);
 
-    drain.run();
+    drain.run(() -> {});
 
     assertTrue(channel.ended);
     assertEquals(0, channels.count());
     assertTrue(elapsed().compareTo(GRACE) < 0, "ended after " + elapsed());
   }
 
+  /** Guards against a request that arrives between the last check and the exit of the process. */
+  @Test
+  void connectionAcceptedAtTheLastMomentIsServed() {
+    drain.run(
+        () -> {
+          FakeChannel late = new FakeChannel(channels);
+          Instant served = clock.instant().plusMillis(400);
+          steps.add(() -> late.idle = !clock.instant().isBefore(served));
+        });
+
+    assertEquals(0, channels.count());
+    assertTrue(elapsed().compareTo(READINESS_DELAY.plusMillis(400)) >= 0, "after " + elapsed());
+  }
+
   @Test
   void answerThatIsBeingSentIsWaitedFor() {
     FakeChannel channel = new FakeChannel(channels);
@@ -79,7 +93,7 @@
           }
         });
 
-    drain.run();
+    drain.run(() -> {});
 
     assertEquals(Duration.ofMillis(5_600), elapsed());
   }
@@ -89,7 +103,7 @@
     FakeChannel channel = new FakeChannel(channels);
     channel.answering = true;
 
-    drain.run();
+    drain.run(() -> {});
 
     assertTrue(elapsed().compareTo(GRACE) < 0, "ended after " + elapsed());
   }
@@ -99,7 +113,7 @@
     relayed.unfinished = 1;
     steps.add(() -> relayed.unfinished = elapsed().toMillis() < 4_000 ? 1 : 0);
 
-    drain.run();
+    drain.run(() -> {});
 
     assertTrue(relayed.refusesNew);
     assertEquals(Duration.ofSeconds(4), elapsed());
--- a/serving/src/test/java/org/mimosacleat/serving/network/ConnectionListenerTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/network/ConnectionListenerTest.java
@@ -25,7 +25,8 @@
     try (ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor()) {
       InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
       ConnectionListener listener =
-          ConnectionListener.start(any, executor, served::add, Sleeper.SYSTEM);
+          ConnectionListener.start(
+              any, executor, socket -> () -> served.add(socket), Sleeper.SYSTEM);
       InetSocketAddress address = listener.address();
       connect(address);
       connect(address);
