--- a/serving/src/main/java/org/mimosacleat/serving/drain/ClientChannels.java
+++ b/serving/src/main/java/org/mimosacleat/serving/drain/ClientChannels.java
@@ -31,9 +31,19 @@
     return open.stream().flatMap(channel -> channel.openStatement().stream()).toList();
   }
 
-  /** Closes the connections that have waited for a request for some time, outside transactions. */
-  public void closeIdle(Duration minimumIdleTime) {
-    open.forEach(channel -> channel.closeIfIdle(minimumIdleTime));
+  /**
+   * Closes connections that have waited for a request for some time, outside transactions.
+   *
+   * @param limit how many to close at most
+   */
+  public void closeIdle(Duration minimumIdleTime, int limit) {
+    int closed = 0;
+    for (ClientChannel channel : open) {
+      if (closed == limit) {
+        return;
+      }
+      closed += channel.closeIfIdle(minimumIdleTime) ? 1 : 0;
+    }
   }
 
   /** Ends all connections, each in a task of its own, because a client may not read its answer. */
--- a/serving/src/main/java/org/mimosacleat/serving/drain/Drain.java
+++ b/serving/src/main/java/org/mimosacleat/serving/drain/Drain.java
@@ -17,6 +17,11 @@
   /** A client that sends its next request at once has sent it by then. */
   private static final Duration MINIMUM_IDLE_TIME = Duration.ofMillis(20);
 
+  /** The part of the sessions that is closed at each check, and the least number. */
+  private static final int CLOSING_DIVISOR = 8;
+
+  private static final int MINIMUM_CLOSED = 4;
+
   private final DrainProgress progress;
   private final ClientChannels channels;
   private final RelayedWork relayedWork;
@@ -61,11 +66,23 @@
 
   private void finishWork() {
     while (hasWork() && progress.allowsWork()) {
-      channels.closeIdle(progress.takesNewWork() ? MINIMUM_IDLE_TIME : Duration.ZERO);
+      closeIdle();
       sleeper.sleep(CHECK_INTERVAL);
     }
   }
 
+  /**
+   * Closes a part of the idle sessions, so that their clients don't all connect elsewhere at once.
+   */
+  private void closeIdle() {
+    if (progress.takesNewWork()) {
+      int part = Math.ceilDiv(channels.count(), CLOSING_DIVISOR);
+      channels.closeIdle(MINIMUM_IDLE_TIME, Math.max(part, MINIMUM_CLOSED));
+    } else {
+      channels.closeIdle(Duration.ZERO, Integer.MAX_VALUE);
+    }
+  }
+
   private void endOpenWork() {
     Logger.info(
         "drain ended after {} ms: {} client connections open, {} statements running, {} requests of"
--- a/serving/src/test/java/org/mimosacleat/serving/drain/DrainTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/drain/DrainTest.java
@@ -56,6 +56,23 @@
     assertFalse(channel.ended);
   }
 
+  /** Guards against all clients of a proxy connecting to the others at the same moment. */
+  @Test
+  void idleSessionsAreClosedOneAfterTheOther() {
+    for (int index = 0; index < 160; index++) {
+      FakeChannel channel = new FakeChannel(channels);
+      channel.idle = true;
+    }
+    List<Integer> open = new ArrayList<>();
+    steps.add(() -> open.add(channels.count()));
+
+    drain.run(() -> {});
+
+    assertTrue(open.contains(140), "open after each check: " + open);
+    assertEquals(0, open.getLast());
+    assertTrue(elapsed().compareTo(GRACE.dividedBy(2)) < 0, "ended after " + elapsed());
+  }
+
   /** Guards against a process that exits at its deadline while requests run unanswered. */
   @Test
   void requestThatRunsAtTheDeadlineIsEndedWithAnAnswer() {
