Gateways reply to requests whose run ends by an exception

What callers saw: no answer until the timeout of the route, then DEADLINE_AFTER_START; and a COMMIT could be acknowledged after a statement of its transaction had failed so.

Cause: PeerSession.reply ran the work in its task; an unchecked exception or an Error ended the task before the reply was sent. The gateway still answered pings, so the caller waited until its deadline. In a transaction, the gateway's side did not know of the failure either, and RoutedTransaction passed the COMMIT on and trusted the gateway to refuse it.

Now the gateway replies INTERNAL (nothing promised), and a transaction whose client was told that it had failed is rolled back without asking the gateway, as it already was without one.

--- a/serving/src/main/java/org/mimosacleat/serving/peer/PeerSession.java
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/PeerSession.java
@@ -8,7 +8,10 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.mimosacleat.core.admission.DemandReport;
+import org.mimosacleat.core.error.ErrorKind;
+import org.mimosacleat.core.error.Failure;
 import org.mimosacleat.core.id.VmId;
+import org.mimosacleat.core.position.Position;
 import org.mimosacleat.serving.feed.FeedPage;
 import org.mimosacleat.serving.feed.FeedPublisher;
 import org.mimosacleat.serving.feed.FeedSubscriber;
@@ -22,6 +25,7 @@
 import org.mimosacleat.serving.relay.RelayRequest;
 import org.mimosacleat.serving.renewal.RenewalCollector;
 import org.mimosacleat.serving.session.RelayedStatements;
+import org.mimosacleat.serving.statement.Answer;
 import org.mimosacleat.serving.version.StoreVersion;
 import org.mimosacleat.wire.peer.PeerProtocolException;
 import org.tinylog.Logger;
@@ -170,14 +174,31 @@
     }
     running.incrementAndGet();
     Supplier<RelayReply> work = statements.register(request);
-    executor.execute(() -> reply(correlationId, work));
+    executor.execute(() -> reply(correlationId, request, work));
   }
 
-  private void reply(long correlationId, Supplier<RelayReply> work) {
+  private void reply(long correlationId, RelayRequest request, Supplier<RelayReply> work) {
     try {
-      sendOrClose(new PeerFrame.Reply(correlationId, work.get()));
+      sendOrClose(new PeerFrame.Reply(correlationId, resultOf(request, work)));
     } finally {
       running.decrementAndGet();
     }
   }
+
+  /**
+   * Runs a request; without a reply to one that fails, its client would wait until its deadline.
+   */
+  private static RelayReply resultOf(RelayRequest request, Supplier<RelayReply> work) {
+    try {
+      return work.get();
+    } catch (RuntimeException | Error unexpected) {
+      Logger.error(unexpected, "a relayed request failed unexpectedly");
+      return failed(request, ErrorKind.INTERNAL, "unexpected failure at the gateway");
+    }
+  }
+
+  private static RelayReply failed(RelayRequest request, ErrorKind kind, String detail) {
+    Failure failure = new Failure(kind, detail);
+    return new RelayReply(Answer.failed(failure, request.statusAfterFailure()), Position.NONE);
+  }
 }
--- a/serving/src/main/java/org/mimosacleat/serving/relay/RelayRequest.java
+++ b/serving/src/main/java/org/mimosacleat/serving/relay/RelayRequest.java
@@ -1,9 +1,18 @@
 package org.mimosacleat.serving.relay;
 
+import org.mimosacleat.core.connection.TransactionStatus;
 import org.mimosacleat.serving.statement.ForwardedStatement;
 
 /** A request to a gateway. Transactions are numbered by the sender. */
 public sealed interface RelayRequest {
+  /** Returns the transaction status of the client's session if the request fails unexpectedly. */
+  default TransactionStatus statusAfterFailure() {
+    return switch (this) {
+      case RunInTransaction _ -> TransactionStatus.FAILED;
+      case RunStatement _, Commit _, RollBack _ -> TransactionStatus.IDLE;
+    };
+  }
+
   /**
    * Runs a statement outside a transaction.
    *
--- a/serving/src/main/java/org/mimosacleat/serving/session/RoutedTransaction.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/RoutedTransaction.java
@@ -127,12 +127,13 @@
 
   @Override
   public Answer commit(ForwardedStatement statement) {
+    if (failed) {
+      // The gateway may not know that it failed, as after a reply that was lost.
+      rollback();
+      String detail = "the transaction had failed; rolled back instead of committed";
+      return refuse(ErrorKind.TRANSACTION_LOST, detail).withStatus(TransactionStatus.IDLE);
+    }
     if (gateway == null && own == null) {
-      // A commit of a transaction whose first statement was refused must not be acknowledged.
-      if (failed) {
-        String detail = "the transaction had failed; there is nothing to commit";
-        return refuse(ErrorKind.TRANSACTION_LOST, detail).withStatus(TransactionStatus.IDLE);
-      }
       Either<Failure, Void> admitted = admission.admitTransaction(route);
       if (admitted.isLeft()) {
         return refuse(admitted.getLeft()).withStatus(TransactionStatus.IDLE);
@@ -156,7 +157,7 @@
 
   /** A commit without a reply is uncertain, unless there was nothing to commit. */
   private Answer uncertain(String reason) {
-    ErrorKind kind = wrote && !failed ? ErrorKind.CONNECTION_LOST : ErrorKind.TRANSACTION_LOST;
+    ErrorKind kind = wrote ? ErrorKind.CONNECTION_LOST : ErrorKind.TRANSACTION_LOST;
     return Answer.failed(new Failure(kind, reason), TransactionStatus.IDLE);
   }
 
--- a/serving/src/test/java/org/mimosacleat/serving/FakeEndpoint.java
+++ b/serving/src/test/java/org/mimosacleat/serving/FakeEndpoint.java
@@ -40,6 +40,9 @@
   public boolean reachable = true;
   public boolean breaksAfterRun;
 
+  /** The rows of each answer to a statement of a client. */
+  public List<String> rows = List.of();
+
   private final EndpointId id;
   private final long startedAt;
   private final Deque<ErrorKind> refusals = new ArrayDeque<>();
@@ -165,7 +168,7 @@
         open = false;
         return broken();
       }
-      return text.startsWith("COMMIT") ? end() : signed();
+      return text.startsWith("COMMIT") ? end() : signed(rows);
     }
 
     private boolean lacks(Optional<Position> after) {
@@ -179,21 +182,25 @@
     }
 
     private CompletableFuture<Answer> signed() {
-      return answered(Optional.of("signed by " + id), Optional.empty());
+      return signed(List.of());
+    }
+
+    private CompletableFuture<Answer> signed(List<String> returned) {
+      return answered(returned, Optional.of("signed by " + id), Optional.empty());
     }
 
     private CompletableFuture<Answer> done() {
-      return answered(Optional.of("-"), Optional.empty());
+      return answered(List.of(), Optional.of("-"), Optional.empty());
     }
 
     private CompletableFuture<Answer> failed(ErrorKind kind) {
-      return answered(Optional.empty(), Optional.of(new Failure(kind, "scripted")));
+      return answered(List.of(), Optional.empty(), Optional.of(new Failure(kind, "scripted")));
     }
 
     private CompletableFuture<Answer> answered(
-        Optional<String> signature, Optional<Failure> failure) {
+        List<String> returned, Optional<String> signature, Optional<Failure> failure) {
       return CompletableFuture.completedFuture(
-          new Answer(List.of(), signature, failure, status, Optional.of(position())));
+          new Answer(returned, signature, failure, status, Optional.of(position())));
     }
   }
 }
