One large message no longer ends the connection between two proxies

What callers saw: one answer of more than 2 MiB, or one statement of more than 1 MiB of bytes above 127, at a proxy that relays: the connection to the gateway closed, all other statements on it ended in doubt, its open transactions were rolled back, and a read was then sent to the next gateway, with the same end.

Cause: PeerChannel refuses a message over its limit before it sends anything, and every IOException of a write was taken for a broken connection. The limit, 2 MiB, was said to be larger than any statement with its session's values, but was not: characters take up to two bytes in MessagePack, the arguments are sent beside the text, and the values of a session had no limit together.

Now the values of a session are limited to 2 Mi characters together, the limit of messages is larger than any statement, and an answer over it fails alone, as ANSWER_TOO_LARGE.

Evidence: RelayedAnswerTest, over a socket.

--- a/serving/src/main/java/org/mimosacleat/serving/peer/PeerSession.java
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/PeerSession.java
@@ -27,6 +27,7 @@
 import org.mimosacleat.serving.session.RelayedStatements;
 import org.mimosacleat.serving.statement.Answer;
 import org.mimosacleat.serving.version.StoreVersion;
+import org.mimosacleat.wire.peer.MessageTooLargeException;
 import org.mimosacleat.wire.peer.PeerProtocolException;
 import org.tinylog.Logger;
 
@@ -179,7 +180,7 @@
 
   private void reply(long correlationId, RelayRequest request, Supplier<RelayReply> work) {
     try {
-      sendOrClose(new PeerFrame.Reply(correlationId, resultOf(request, work)));
+      sendReply(correlationId, request, resultOf(request, work));
     } finally {
       running.decrementAndGet();
     }
@@ -197,6 +198,17 @@
     }
   }
 
+  private void sendReply(long correlationId, RelayRequest request, RelayReply reply) {
+    try {
+      transport.send(new PeerFrame.Reply(correlationId, reply));
+    } catch (MessageTooLargeException tooLarge) {
+      RelayReply refusal = failed(request, ErrorKind.ANSWER_TOO_LARGE, tooLarge.getMessage());
+      sendOrClose(new PeerFrame.Reply(correlationId, refusal));
+    } catch (IOException ended) {
+      transport.close();
+    }
+  }
+
   private static RelayReply failed(RelayRequest request, ErrorKind kind, String detail) {
     Failure failure = new Failure(kind, detail);
     return new RelayReply(Answer.failed(failure, request.statusAfterFailure()), Position.NONE);
--- a/serving/src/main/java/org/mimosacleat/serving/peer/PeerTransport.java
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/PeerTransport.java
@@ -9,8 +9,11 @@
 
 /** Sends and receives frames on one socket. Any thread may send, but only one may receive. */
 final class PeerTransport implements AutoCloseable {
-  /** Larger than any client message with its session values. */
-  private static final int MAX_MESSAGE_BYTES = 2 * 1024 * 1024;
+  /**
+   * Larger than any statement with its arguments, its prepared shape and its session's values. They
+   * have up to 5 Mi characters, each of which takes up to two bytes here.
+   */
+  private static final int MAX_MESSAGE_BYTES = 12 * 1024 * 1024;
 
   /** The number of this protocol within the messages between proxies. */
   private static final int RELAY_CHANNEL = 5;
--- a/serving/src/main/java/org/mimosacleat/serving/session/SessionState.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/SessionState.java
@@ -14,11 +14,15 @@
   /** The limit for the values, and also for the prepared statements, of one session. */
   static final int MAX_NAMES = 1_024;
 
+  /** The limit for all values of one session together, names included. */
+  static final int MAX_VALUE_CHARACTERS = 2 * 1024 * 1024;
+
   private final Map<String, String> values = new HashMap<>();
   private final Map<String, PreparedShape> preparedStatements = new HashMap<>();
   private final Map<GroupId, Position> lastWrites = new HashMap<>();
   private final Optional<ApiKey> key;
   private Optional<TeamId> team = Optional.empty();
+  private int valueCharacters;
   private long configurationVersion;
 
   /** Creates the state of a session whose caller sent this key, if any. */
@@ -58,10 +62,15 @@
   }
 
   boolean setValue(String name, String value) {
-    if (values.size() >= MAX_NAMES && !values.containsKey(name)) {
+    String replaced = values.get(name);
+    int before = replaced == null ? 0 : name.length() + replaced.length();
+    int after = valueCharacters - before + name.length() + value.length();
+    boolean tooMany = replaced == null && values.size() >= MAX_NAMES;
+    if (tooMany || after > MAX_VALUE_CHARACTERS) {
       return false;
     }
     values.put(name, value);
+    valueCharacters = after;
     return true;
   }
 
--- a/serving/src/test/java/org/mimosacleat/serving/peer/RelayedAnswerTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/peer/RelayedAnswerTest.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -26,10 +27,12 @@
 import org.mimosacleat.serving.session.Session;
 import org.mimosacleat.serving.statement.Answer;
 import org.mimosacleat.serving.statement.ForwardedStatement;
+import org.mimosacleat.serving.statement.PreparedShape;
 import org.mimosacleat.serving.statement.StatementId;
 
 /** A request between two proxies ends with a result in time, whatever happens at the other. */
 class RelayedAnswerTest {
+  private static final int LINE_CHARACTERS = 1 << 20;
   private static final Duration DEADLINE = Duration.ofSeconds(4);
   private static final Duration AT_ONCE = Duration.ofSeconds(2);
 
@@ -69,7 +72,56 @@
     }
   }
 
+  /** Guards against one large answer that ends the connection for all requests on it. */
+  @Test
+  void answerThatIsTooLargeToRelayFailsAlone() throws IOException {
+    try (GatewayOverSocket gateway = GatewayOverSocket.serving()) {
+      gateway.proxy.primary.rows = Collections.nCopies(16, "x".repeat(LINE_CHARACTERS));
+      final Answer large = answer(write(gateway, "a"));
+      gateway.proxy.primary.rows = List.of();
+
+      final Answer next = answer(write(gateway, "a"));
+
+      assertTrue(large.hasFailed(ErrorKind.ANSWER_TOO_LARGE), large.toString());
+      assertTrue(next.isDone(), next.toString());
+    }
+  }
+
+  /** Guards against a line of bytes above 127, which take two bytes each between proxies. */
+  @Test
+  void longestLineIsRelayedWhateverItsBytes() throws IOException {
+    try (GatewayOverSocket gateway = GatewayOverSocket.serving()) {
+      String data = "é".repeat(LINE_CHARACTERS);
+      gateway.proxy.primary.rows = Collections.nCopies(2, data);
+
+      Answer answer = answer(write(gateway, data));
+
+      assertTrue(answer.isDone());
+      assertEquals(gateway.proxy.primary.rows, answer.rows());
+    }
+  }
+
+  /** Guards against a statement that can't be relayed together with what belongs to it. */
+  @Test
+  void largestStatementIsRelayedWithItsShapeAndValues() throws IOException {
+    try (GatewayOverSocket gateway = GatewayOverSocket.serving()) {
+      String data = "é".repeat(LINE_CHARACTERS);
+      ForwardedStatement execute =
+          new ForwardedStatement(
+              new StatementId("w"), data, true, Optional.of(new PreparedShape(true, data)), data);
+
+      assertTrue(answer(run(gateway, execute, Map.of("a", data, "b", data))).isDone());
+    }
+  }
+
   private static RelayResult write(GatewayOverSocket gateway, String data) {
+    ForwardedStatement write =
+        new ForwardedStatement(new StatementId("w"), "WRITE a " + data, true, Optional.empty(), "");
+    return run(gateway, write, Map.of());
+  }
+
+  private static RelayResult run(
+      GatewayOverSocket gateway, ForwardedStatement statement, Map<String, String> values) {
     Route route =
         gateway.proxy.fleet.snapshot().configuration().get().route(ServingFixture.LATEST).get();
     RelayContext context =
@@ -78,13 +130,11 @@
             Optional.of(new TeamId("crew")),
             Optional.empty(),
             1,
-            Map.of(),
+            values,
             Position.NONE,
             Duration.ZERO);
-    ForwardedStatement write =
-        new ForwardedStatement(new StatementId("w"), "WRITE a " + data, true, Optional.empty(), "");
     return gateway.link.execute(
-        new RelayRequest.RunStatement(context, write), Instant.now().plus(DEADLINE));
+        new RelayRequest.RunStatement(context, statement), Instant.now().plus(DEADLINE));
   }
 
   private static Answer answer(RelayResult result) {
--- a/wire/src/main/java/org/mimosacleat/wire/peer/PeerChannel.java
+++ b/wire/src/main/java/org/mimosacleat/wire/peer/PeerChannel.java
@@ -32,12 +32,15 @@
     this.maxMessageBytes = (int) Checks.positive("maximum peer message size", maxMessageBytes);
   }
 
-  /** Writes one message; the length and the body go out in a single write. */
+  /**
+   * Writes one message; the length and the body go out in a single write.
+   *
+   * @throws MessageTooLargeException if the message exceeds the size limit
+   */
   public void write(PeerMessage message) throws IOException {
     byte[] body = PeerCodec.encode(message);
     if (body.length > maxMessageBytes) {
-      throw new PeerProtocolException(
-          "peer message: " + body.length + " bytes exceed the limit of " + maxMessageBytes);
+      throw new MessageTooLargeException(body.length, maxMessageBytes);
     }
     ByteBuffer framed = ByteBuffer.allocate(Integer.BYTES + body.length);
     framed.putInt(body.length).put(body);
