Statements don't wait without end for a gateway that doesn't read

What callers saw: no answer at all, beyond the timeout of the route, while the gateway was frozen or its connection silent; at a drain such a request is cut.

Cause: PeerLink.call sent the request in the thread of the statement, and only then waited with a deadline. A write to a peer that doesn't read blocks once the buffers are full, and holds the lock of the channel. The others that waited on this connection, whose task it is to close a silent one, blocked on that lock when they sent their ping.

The reading task of a connection closes it however it ends.

Evidence: RelayedAnswerTest, a gateway that doesn't read and a statement of 8 Mi characters. Before: no result after 2 s. After: an unknown outcome within that time, and the test's statement of 1 Mi characters and its answer pass as before.

--- a/serving/src/main/java/org/mimosacleat/serving/network/Sockets.java
+++ b/serving/src/main/java/org/mimosacleat/serving/network/Sockets.java
@@ -9,6 +9,12 @@
 
 /** Opens sockets that detect an unreachable peer by TCP keep-alive. */
 public final class Sockets {
+  /**
+   * A write of at most this size finds room in the buffers of a connection on which little waits to
+   * be read. A larger one may block until the peer reads, so it needs a task of its own.
+   */
+  public static final int MAX_DIRECT_WRITE_BYTES = 4 * 1024;
+
   private static final int KEEP_ALIVE_SECONDS = 1;
   private static final int KEEP_ALIVE_PROBES = 2;
 
--- a/serving/src/main/java/org/mimosacleat/serving/peer/PeerLink.java
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/PeerLink.java
@@ -54,6 +54,7 @@
 
   private final FleetMember peer;
   private final PeerTransport transport;
+  private final ExecutorService executor;
   private final InstantSource clock;
   private final AtomicLong lastCorrelationId = new AtomicLong();
   private final Map<Long, CompletableFuture<Either<String, PeerFrame>>> pending =
@@ -63,9 +64,11 @@
   private volatile boolean leaving;
   private volatile Optional<FeedListener> feedListener = Optional.empty();
 
-  private PeerLink(FleetMember peer, PeerTransport transport, InstantSource clock) {
+  private PeerLink(
+      FleetMember peer, PeerTransport transport, ExecutorService executor, InstantSource clock) {
     this.peer = peer;
     this.transport = transport;
+    this.executor = executor;
     this.clock = clock;
     this.lastFrameAt = new AtomicReference<>(clock.instant());
   }
@@ -89,7 +92,7 @@
             "proxy at " + peer.address() + " is " + answered + ", expected " + peer.vm());
       }
       socket.setSoTimeout(0);
-      PeerLink link = new PeerLink(peer, transport, clock);
+      PeerLink link = new PeerLink(peer, transport, executor, clock);
       executor.execute(link::readFrames);
       return link;
     } catch (IOException failed) {
@@ -169,7 +172,7 @@
     CompletableFuture<Either<String, PeerFrame>> answer = new CompletableFuture<>();
     pending.put(correlationId, answer);
     try {
-      transport.send(request.apply(correlationId));
+      transport.send(request.apply(correlationId), executor);
       return await(answer, deadline);
     } catch (IOException broken) {
       close(broken.getMessage());
@@ -224,7 +227,7 @@
   }
 
   private Either<String, PeerFrame> await(
-      CompletableFuture<Either<String, PeerFrame>> answer, Instant deadline) throws IOException {
+      CompletableFuture<Either<String, PeerFrame>> answer, Instant deadline) {
     Instant sentAt = clock.instant();
     while (true) {
       if (!open) {
@@ -249,14 +252,23 @@
     }
   }
 
-  private void checkSilence(Instant sentAt) throws IOException {
+  private void checkSilence(Instant sentAt) {
     Instant last = lastFrameAt.get();
     Instant since = last.isAfter(sentAt) ? last : sentAt;
     Duration silence = Duration.between(since, clock.instant());
     if (silence.compareTo(MAX_SILENCE) > 0) {
       close("no frame for " + silence.toMillis() + " ms");
     } else if (silence.compareTo(PING_DELAY) >= 0) {
+      executor.execute(this::ping);
+    }
+  }
+
+  /** Run as a task, because it waits for a frame that the proxy does not read. */
+  private void ping() {
+    try {
       transport.send(new PeerFrame.Ping());
+    } catch (IOException broken) {
+      close(String.valueOf(broken.getMessage()));
     }
   }
 
@@ -269,6 +281,9 @@
       }
     } catch (IOException ended) {
       close(String.valueOf(ended.getMessage()));
+    } finally {
+      // After an unexpected exception nothing would read the replies that others wait for.
+      close("the reading task ended");
     }
   }
 
--- a/serving/src/main/java/org/mimosacleat/serving/peer/PeerTransport.java
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/PeerTransport.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.util.concurrent.Executor;
 import org.mimosacleat.core.id.VmId;
+import org.mimosacleat.serving.network.Sockets;
 import org.mimosacleat.wire.peer.PeerChannel;
 import org.mimosacleat.wire.peer.PeerMessage;
 import org.mimosacleat.wire.peer.PeerProtocolException;
@@ -43,8 +45,34 @@
     throw new PeerProtocolException("expected a hello message");
   }
 
+  /** Sends a frame; blocks while the peer does not read. */
   void send(PeerFrame frame) throws IOException {
-    channel.write(new PeerMessage.FleetPayload(RELAY_CHANNEL, PeerFrameCodec.encode(frame)));
+    channel.write(message(frame));
+  }
+
+  /**
+   * Sends a frame without waiting for a peer that does not read: a large frame is sent by a task,
+   * which closes the connection if that fails.
+   */
+  void send(PeerFrame frame, Executor executor) throws IOException {
+    PeerMessage.FleetPayload message = message(frame);
+    if (message.payload().length <= Sockets.MAX_DIRECT_WRITE_BYTES) {
+      channel.write(message);
+      return;
+    }
+    executor.execute(() -> writeOrClose(message));
+  }
+
+  private static PeerMessage.FleetPayload message(PeerFrame frame) throws IOException {
+    return new PeerMessage.FleetPayload(RELAY_CHANNEL, PeerFrameCodec.encode(frame));
+  }
+
+  private void writeOrClose(PeerMessage message) {
+    try {
+      channel.write(message);
+    } catch (IOException broken) {
+      close();
+    }
   }
 
   /** Receives the next frame; blocks until it arrives. */
--- a/serving/src/test/java/org/mimosacleat/serving/peer/RelayedAnswerTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/peer/RelayedAnswerTest.java
@@ -101,6 +101,18 @@
     }
   }
 
+  /** Guards against a statement that waits without end for a gateway that does not read. */
+  @Test
+  void statementThatFrozenGatewayDoesNotReadEndsInTime() throws IOException {
+    try (GatewayOverSocket gateway = GatewayOverSocket.frozen()) {
+      String data = "x".repeat(8 * LINE_CHARACTERS);
+
+      RelayResult result = assertTimeoutPreemptively(AT_ONCE, () -> write(gateway, data));
+
+      assertInstanceOf(RelayResult.Unknown.class, result);
+    }
+  }
+
   /** Guards against a statement that can't be relayed together with what belongs to it. */
   @Test
   void largestStatementIsRelayedWithItsShapeAndValues() throws IOException {
