A drain doesn't wait for another proxy that doesn't read

What callers saw: all requests of a proxy cut by SIGKILL at the end of its grace period, if another proxy was frozen, or its connection silent, with the buffers of the connection full.

Cause: a drain begins with PeerServer.refuseNew, which sent the frame Leaving to each connected proxy in turn, in the thread of the drain. That send has no bound.

Now each frame is sent by a task of its own; the refusal of new work holds at once.

Evidence: PeerSessionTest. Before: leave() had not returned after 2 s. After: it returns.

--- a/serving/src/main/java/org/mimosacleat/serving/peer/PeerSession.java
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/PeerSession.java
@@ -104,9 +104,13 @@
     }
   }
 
-  /** Rejects new work from now on; open transactions continue. */
+  /** Rejects new work from now on; open transactions continue. Doesn't wait for the other proxy. */
   void leave() {
     leaving = true;
+    executor.execute(this::announceLeaving);
+  }
+
+  private void announceLeaving() {
     try {
       transport.send(new PeerFrame.Leaving());
     } catch (IOException ended) {
--- a/serving/src/test/java/org/mimosacleat/serving/peer/GatewayOverSocket.java
+++ b/serving/src/test/java/org/mimosacleat/serving/peer/GatewayOverSocket.java
@@ -30,7 +30,6 @@
   private final CountDownLatch thawed = new CountDownLatch(1);
   private final ServerSocket listener;
   private volatile Socket accepted;
-  private volatile PeerSession session;
 
   private GatewayOverSocket(boolean reads, InstantSource clock) throws IOException {
     listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
@@ -58,9 +57,20 @@
     return new GatewayOverSocket(false, Clock.systemUTC());
   }
 
-  /** Returns the gateway's side of the connection. */
-  PeerSession session() {
-    return session;
+  /** Returns the gateway's side of a connection, for relayed statements only. */
+  static PeerSession session(
+      PeerTransport transport, ServingFixture proxy, ExecutorService executor) {
+    return new PeerSession(
+        transport,
+        proxy.sessions.openRelayed(),
+        _ -> StopResult.ABANDONED,
+        new FeedPublisher(
+            new ConfigurationFreshness(Clock.systemUTC(), Clock.systemUTC()), executor),
+        _ -> {
+          throw new IllegalStateException("no coordinator");
+        },
+        executor,
+        null);
   }
 
   @Override
@@ -81,20 +91,8 @@
     try {
       accepted = listener.accept();
       PeerTransport transport = new PeerTransport(accepted);
-      session =
-          new PeerSession(
-              transport,
-              proxy.sessions.openRelayed(),
-              _ -> StopResult.ABANDONED,
-              new FeedPublisher(
-                  new ConfigurationFreshness(Clock.systemUTC(), Clock.systemUTC()), executor),
-              _ -> {
-                throw new IllegalStateException("no coordinator");
-              },
-              executor,
-              null);
       if (reads) {
-        session.run(VM);
+        session(transport, proxy, executor).run(VM);
       } else {
         transport.receiveHello();
         transport.sendHello(VM);
