Statements don't wait without end for an endpoint that doesn't read

What callers saw: no answer at all, beyond the timeout of the route, for a statement of more than the buffers of a connection to a silent endpoint; at a drain such a request is cut. A replacement of the primary that closes its connections waited too.

Cause: LineConnection.send wrote in the thread of the statement, which looks at its deadline only afterwards, and held the lock that close() needs.

--- a/serving/src/main/java/org/mimosacleat/serving/endpoint/EndpointConnection.java
+++ b/serving/src/main/java/org/mimosacleat/serving/endpoint/EndpointConnection.java
@@ -7,7 +7,8 @@
 /** One open connection to an endpoint. Commands are answered in the order they were sent. */
 public interface EndpointConnection extends AutoCloseable {
   /**
-   * Sends commands in one write.
+   * Sends commands without waiting for an endpoint that does not read. Commands are sent by one
+   * caller at a time, after the answers to the ones before.
    *
    * @return one future for each command; it fails with an {@code IOException} if the connection
    *     ends before the answer is complete
