A statement isn't sent to a primary whose use ended while it waited for a connection

What callers could see: a write acknowledged by the old primary after its replacement, lost with it; or a read there that misses the writes of the new primary.

Cause: whether the primary may be used (its state, the lease) was checked when the endpoint was chosen, before the wait for a connection, which takes 60 ms for a permit and up to 1.1 s for a new connection. A stop closes the idle connections and those in use, not one that is being opened; so this proxy confirmed that it had stopped, and then sent the statement.

Now the check is repeated once the connection is borrowed. A stop that comes before it is seen; one that comes after it closes the connection, which is counted as in use by then.

--- a/serving/src/main/java/org/mimosacleat/serving/routing/TargetChooser.java
+++ b/serving/src/main/java/org/mimosacleat/serving/routing/TargetChooser.java
@@ -75,6 +75,11 @@
     return canUsePrimary.test(group);
   }
 
+  /** Returns whether this proxy may use an endpoint as the primary of a group now. */
+  public boolean mayUseAsPrimary(EndpointPool pool, GroupId group) {
+    return isPrimary(groupStates.of(group), pool) && mayUsePrimary(group);
+  }
+
   /** Returns the group's primary, or no target if it is unknown or must not be used now. */
   public Target forPrimary(GroupId group) {
     GroupState state = groupStates.of(group);
--- a/serving/src/main/java/org/mimosacleat/serving/session/Attempt.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/Attempt.java
@@ -43,6 +43,10 @@
    * The wait is short, so that the endpoint is chosen again afterwards; the urgency depends on the
    * arrival of the statement, so a repeated wait does not lose its place.
    *
+   * <p>The use of a primary may end during the wait. A stop closes the connections that are
+   * borrowed by then; those that are borrowed later are not used, because that is checked after the
+   * wait.
+   *
    * @param deadline when the statement must be answered
    * @param primary whether the endpoint is used as the primary
    */
@@ -59,7 +63,13 @@
       }
       return Either.left(retry(failure, pool, !primary));
     }
-    return Either.right(borrowResult.get());
+    BorrowedConnection connection = borrowResult.get();
+    if (primary && !dependencies.chooser().mayUseAsPrimary(pool, group)) {
+      connection.release();
+      String detail = "the use of primary " + pool.entry().id() + " has ended";
+      return Either.left(retry(new Failure(ErrorKind.UNAVAILABLE, detail), pool, false));
+    }
+    return Either.right(connection);
   }
 
   CommandResult run(
--- a/serving/src/test/java/org/mimosacleat/serving/ServingFixture.java
+++ b/serving/src/test/java/org/mimosacleat/serving/ServingFixture.java
@@ -77,6 +77,10 @@
       new EndpointPools(this::dial, clock, fleet, new ConnectionShare(13), _ -> true);
   public final List<String> suspicions = new ArrayList<>();
   public boolean canUsePrimaries = true;
+
+  /** Runs while a connection to an endpoint is opened. */
+  public Runnable whileDialing = () -> {};
+
   public Duration configurationAge = Duration.ZERO;
   public final TargetChooser chooser =
       new TargetChooser(
@@ -178,6 +182,7 @@
 
   private Either<Failure, EndpointConnection> dial(EndpointEntry entry, Optional<TeamId> team) {
     dialedTeams.add(team);
+    whileDialing.run();
     return dialer.dial(entry, team);
   }
 
