--- a/serving/src/main/java/org/mimosacleat/serving/peer/PeerTransport.java
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/PeerTransport.java
@@ -2,15 +2,20 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.util.concurrent.Executor;
 import org.mimosacleat.core.id.VmId;
+import org.mimosacleat.serving.network.Sockets;
 import org.mimosacleat.wire.peer.PeerChannel;
 import org.mimosacleat.wire.peer.PeerMessage;
 import org.mimosacleat.wire.peer.PeerProtocolException;
 
 /** Sends and receives frames on one socket. Any thread may send, but only one may receive. */
 final class PeerTransport implements AutoCloseable {
-  /** Larger than any client message with its session values. */
-  private static final int MAX_MESSAGE_BYTES = 2 * 1024 * 1024;
+  /**
+   * Larger than any statement with its arguments, its prepared shape and its session's values. They
+   * have up to 5 Mi characters, each of which takes up to two bytes here.
+   */
+  private static final int MAX_MESSAGE_BYTES = 12 * 1024 * 1024;
 
   /** The number of this protocol within the messages between proxies. */
   private static final int RELAY_CHANNEL = 5;
@@ -40,8 +45,34 @@
     throw new PeerProtocolException("expected a hello message");
   }
 
+  /** Sends a frame; blocks while the peer does not read. */
   void send(PeerFrame frame) throws IOException {
-    channel.write(new PeerMessage.FleetPayload(RELAY_CHANNEL, PeerFrameCodec.encode(frame)));
+    channel.write(message(frame));
+  }
+
+  /**
+   * Sends a frame without waiting for a peer that does not read: a large frame is sent by a task,
+   * which closes the connection if that fails.
+   */
+  void send(PeerFrame frame, Executor executor) throws IOException {
+    PeerMessage.FleetPayload message = message(frame);
+    if (message.payload().length <= Sockets.MAX_DIRECT_WRITE_BYTES) {
+      channel.write(message);
+      return;
+    }
+    executor.execute(() -> writeOrClose(message));
+  }
+
+  private static PeerMessage.FleetPayload message(PeerFrame frame) throws IOException {
+    return new PeerMessage.FleetPayload(RELAY_CHANNEL, PeerFrameCodec.encode(frame));
+  }
+
+  private void writeOrClose(PeerMessage message) {
+    try {
+      channel.write(message);
+    } catch (IOException broken) {
+      close();
+    }
   }
 
   /** Receives the next frame; blocks until it arrives. */
