Answer what a connection has read when a drain closes it

Cause: the drain closed the socket by itself, by a look at the state and at the unread bytes. Now it ends the input only; the connection's own thread answers what it has read and closes at the end of its input.

--- a/serving/src/main/java/org/mimosacleat/serving/drain/ChannelState.java
+++ b/serving/src/main/java/org/mimosacleat/serving/drain/ChannelState.java
@@ -26,8 +26,8 @@
   }
 
   private sealed interface State {
-    /** Waits for a request of the client. */
-    record Waiting(Instant since, boolean inTransaction) implements State {}
+    /** Waits for a request of the client; a leaving one is the last, if one has arrived. */
+    record Waiting(Instant since, boolean inTransaction, boolean leaving) implements State {}
 
     /** A request was read and is being executed; the start of a session has no statement id. */
     record Running(Optional<StatementId> statement) implements State {}
@@ -45,7 +45,7 @@
   /** Creates the state of a connection whose client has not sent anything yet. */
   public ChannelState(InstantSource clock) {
     this.clock = clock;
-    this.state = new AtomicReference<>(new State.Waiting(clock.instant(), false));
+    this.state = new AtomicReference<>(new State.Waiting(clock.instant(), false, false));
   }
 
   /**
@@ -76,16 +76,20 @@
     State known = state.get();
     return known instanceof State.Answering(boolean last)
         && !last
-        && state.compareAndSet(known, new State.Waiting(clock.instant(), inTransaction));
+        && state.compareAndSet(known, new State.Waiting(clock.instant(), inTransaction, false));
   }
 
-  /** Ends the connection if it waits outside of a transaction and has done so for some time. */
-  public boolean endIfIdle(Duration minimumIdleTime, InputCheck input) {
+  /**
+   * Chooses the connection to be closed if it waits outside of a transaction and has done so for
+   * some time. The caller then ends its input: what has been read until then is still answered.
+   */
+  public boolean leaveIfIdle(Duration minimumIdleTime, InputCheck input) {
     return state.get() instanceof State.Waiting waiting
         && !waiting.inTransaction()
+        && !waiting.leaving()
         && Duration.between(waiting.since(), clock.instant()).compareTo(minimumIdleTime) >= 0
         && !input.hasUnreadInput()
-        && state.compareAndSet(waiting, new State.Ended());
+        && state.compareAndSet(waiting, new State.Waiting(waiting.since(), false, true));
   }
 
   /** Ends the connection in any state. */
--- a/serving/src/main/java/org/mimosacleat/serving/drain/ClientChannel.java
+++ b/serving/src/main/java/org/mimosacleat/serving/drain/ClientChannel.java
@@ -7,10 +7,11 @@
 /** A client connection that a drain can close. */
 public interface ClientChannel {
   /**
-   * Closes the connection if no request and no transaction is open on it.
+   * Closes the connection if no request and no transaction is open on it; a request that has just
+   * been read is answered before.
    *
    * @param minimumIdleTime how long it must have waited for a request
-   * @return whether it was closed
+   * @return whether it closes now
    */
   boolean closeIfIdle(Duration minimumIdleTime);
 
