--- a/core/src/main/java/org/mimosacleat/core/check/Checks.java
+++ b/core/src/main/java/org/mimosacleat/core/check/Checks.java
@@ -10,6 +10,14 @@
 
   private Checks() {}
 
+  /**
+   * Returns whether {@code value} is not blank and has at most {@value #MAXIMUM_NAME_LENGTH}
+   * characters, so that {@link #name} accepts it.
+   */
+  public static boolean isName(String value) {
+    return value != null && !value.isBlank() && value.length() <= MAXIMUM_NAME_LENGTH;
+  }
+
   /**
    * Returns {@code value} if it is not blank and at most {@value #MAXIMUM_NAME_LENGTH} characters.
    */
