--- a/serving/src/test/java/org/mimosacleat/serving/ServingFixture.java
+++ b/serving/src/test/java/org/mimosacleat/serving/ServingFixture.java
@@ -15,6 +15,8 @@
 import org.mimosacleat.core.time.PausedClock;
 import org.mimosacleat.serving.access.AccessControl;
 import org.mimosacleat.serving.access.AccessSettings;
+import org.mimosacleat.serving.drain.DrainProgress;
+import org.mimosacleat.serving.drain.DrainTimes;
 import org.mimosacleat.serving.endpoint.ConnectionShare;
 import org.mimosacleat.serving.endpoint.EndpointConnection;
 import org.mimosacleat.serving.endpoint.EndpointDialer;
@@ -77,6 +79,10 @@
       new EndpointPools(this::dial, clock, fleet, new ConnectionShare(13), _ -> true);
   public final List<String> suspicions = new ArrayList<>();
   public boolean canUsePrimaries = true;
+
+  /** Runs while a connection to an endpoint is opened. */
+  public Runnable whileDialing = () -> {};
+
   public Duration configurationAge = Duration.ZERO;
   public final TargetChooser chooser =
       new TargetChooser(
@@ -88,6 +94,8 @@
           new Random(1));
 
   public TeamLimits limits = TeamLimits.UNLIMITED;
+  public final DrainProgress drain =
+      new DrainProgress(clock, new DrainTimes(Duration.ofMillis(2_300), Duration.ofSeconds(6)));
   public final Sessions sessions;
   private int statements;
 
@@ -112,6 +120,7 @@
             (_, endpoint, reason) -> suspicions.add(endpoint + ": " + reason),
             relay,
             team -> limits.admit(team),
+            drain,
             clock,
             new Random(1),
             clock::advance);
@@ -178,6 +187,7 @@
 
   private Either<Failure, EndpointConnection> dial(EndpointEntry entry, Optional<TeamId> team) {
     dialedTeams.add(team);
+    whileDialing.run();
     return dialer.dial(entry, team);
   }
 
