The wait for a connection ends when a pool changes its size while it is refused one

What callers could see: no answer, and a proxy that stands still on one core: a borrower took all processor time, without end.

Cause: borrow() repeated without a look at the time when a permit was free but the pool had reached its maximum. That was meant to be short, between the two steps of a resize. But a resize (a configuration change, a change of the number of proxies) and the cap after a refused connection set the maximum and the permits one after the other without a common lock, so a maximum of one and permits of the other could stay, and the cap is only lifted at the start of the next borrow().

Now both are set under one lock, and the loop ends with the wait.

--- a/serving/src/main/java/org/mimosacleat/serving/endpoint/EndpointPool.java
+++ b/serving/src/main/java/org/mimosacleat/serving/endpoint/EndpointPool.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.concurrent.locks.ReentrantLock;
 import org.mimosacleat.core.error.ErrorKind;
 import org.mimosacleat.core.error.Failure;
 import org.mimosacleat.core.id.TeamId;
@@ -30,6 +31,10 @@
   private final ConnectionPermits permits;
   private final OpenConnections connections;
   private final AtomicReference<PoolSize> size;
+
+  /** Guards changes of the number of permits together with the maximum of the connections. */
+  private final ReentrantLock limitLock = new ReentrantLock();
+
   private final AtomicInteger refusedConnections = new AtomicInteger();
 
   /**
@@ -79,9 +84,13 @@
 
   /** Changes how many connections the pool may have. */
   public void resize(PoolSize next) {
-    size.set(next);
-    connections.resize(next.maxConnections());
-    permits.resize(next.maxConnections());
+    limitLock.lock();
+    try {
+      size.set(next);
+      limitTo(next.maxConnections());
+    } finally {
+      limitLock.unlock();
+    }
     if (!next.keepsIdle()) {
       connections.closeIdle();
     }
@@ -139,6 +148,9 @@
         return refuse();
       }
       // The maximum was lowered after the permit was acquired; the next one takes it into account.
+      if (!clock.instant().isBefore(until)) {
+        break;
+      }
     }
     return failure(
         ErrorKind.OVERLOADED, "no connection to endpoint " + entry().id() + " became free in time");
@@ -285,7 +297,17 @@
     int doublings = Math.min(refusedConnections.getAndIncrement(), MAX_DELAY_DOUBLINGS);
     cappedUntil.set(
         clock.instant().plus(MIN_REFUSED_CONNECTION_DELAY.multipliedBy(1L << doublings)));
-    permits.resize(Math.min(connections.capAtHeld(), size.get().maxConnections()));
+    limitLock.lock();
+    try {
+      permits.resize(Math.min(connections.capAtHeld(), size.get().maxConnections()));
+    } finally {
+      limitLock.unlock();
+    }
+  }
+
+  private void limitTo(int maxConnections) {
+    connections.resize(maxConnections);
+    permits.resize(maxConnections);
   }
 
   /** Returns whether a connection was refused a moment ago and none is open. */
@@ -303,8 +325,12 @@
     Instant until = cappedUntil.get();
     boolean over = !until.equals(Instant.MAX) && !clock.instant().isBefore(until);
     if (over && cappedUntil.compareAndSet(until, Instant.MAX)) {
-      connections.resize(size.get().maxConnections());
-      permits.resize(size.get().maxConnections());
+      limitLock.lock();
+      try {
+        limitTo(size.get().maxConnections());
+      } finally {
+        limitLock.unlock();
+      }
     }
   }
 
