A statement doesn't run without its session's values after an endpoint refused them

What callers could see: a statement that ran with other session values than were acknowledged to its client.

Cause: PooledConnection records values and prepared statements as set when it sends them. If the endpoint refuses one, for example because it has no free slot, and the statement too, the answer counts as a plain refusal: the connection goes back to the pool, or the transaction repeats the statement on it, without the value.

Now a connection whose set-up was refused is not used again: it is closed when it is returned, and a transaction on it is lost, with nothing committed.

That endpoints do refuse values was not observed; the protocol does not exclude it.

--- a/serving/src/main/java/org/mimosacleat/serving/endpoint/BorrowedConnection.java
+++ b/serving/src/main/java/org/mimosacleat/serving/endpoint/BorrowedConnection.java
@@ -17,10 +17,17 @@
 
 /** A pooled connection that one session holds until it releases or discards it. */
 public final class BorrowedConnection {
+  private static final String SET_UP_FAILED =
+      "could not set the session's values and prepared statement";
+
   private final EndpointPool pool;
   private final PooledConnection pooled;
   private final InstantSource clock;
   private boolean inTransaction;
+
+  /** Whether the connection may lack values or a prepared statement that it is recorded to have. */
+  private boolean setUpFailed;
+
   private boolean returned;
 
   BorrowedConnection(EndpointPool pool, PooledConnection pooled, InstantSource clock) {
@@ -41,6 +48,9 @@
       Optional<PreparedShape> shape,
       List<EndpointCommand> commands,
       Instant deadline) {
+    if (setUpFailed) {
+      return new CommandResult.Lost(SET_UP_FAILED);
+    }
     List<EndpointCommand> first = pooled.prepareFor(values, shape);
     List<EndpointCommand> all = new ArrayList<>(first);
     all.addAll(commands);
@@ -62,8 +72,9 @@
     }
     boolean prepared = answers.subList(0, first.size()).stream().allMatch(Answer::isDone);
     List<Answer> own = answers.subList(first.size(), answers.size());
-    if (!prepared && own.stream().anyMatch(Answer::isDone)) {
-      return new CommandResult.Lost("could not set the session's values and prepared statement");
+    setUpFailed = !prepared;
+    if (setUpFailed && own.stream().anyMatch(Answer::isDone)) {
+      return new CommandResult.Lost(SET_UP_FAILED);
     }
     inTransaction = answers.getLast().status() != TransactionStatus.IDLE;
     answers.getLast().position().ifPresent(pool.health()::recordPosition);
@@ -76,9 +87,12 @@
     return pool;
   }
 
-  /** Returns the connection to the pool, or closes it if a transaction is open on it. */
+  /**
+   * Returns the connection to the pool, or closes it if a transaction is open on it or it was not
+   * set up as recorded.
+   */
   public void release() {
-    if (inTransaction) {
+    if (inTransaction || setUpFailed) {
       discard();
     }
     if (!returned) {
--- a/serving/src/test/java/org/mimosacleat/serving/FakeEndpoint.java
+++ b/serving/src/test/java/org/mimosacleat/serving/FakeEndpoint.java
@@ -43,6 +43,9 @@
   /** The rows of each answer to a statement of a client. */
   public List<String> rows = List.of();
 
+  /** How many of the next session values are refused. */
+  public int refusedValues;
+
   private final EndpointId id;
   private final long startedAt;
   private final Deque<ErrorKind> refusals = new ArrayDeque<>();
@@ -134,10 +137,19 @@
         case EndpointCommand.Run run -> run(run.text(), run.after());
         case EndpointCommand.RunPrepared run -> run("EXEC " + run.arguments(), run.after());
         case EndpointCommand.Rollback rollback -> end();
+        case EndpointCommand.SetValue set -> setValue();
         default -> done();
       };
     }
 
+    private CompletableFuture<Answer> setValue() {
+      if (refusedValues == 0) {
+        return done();
+      }
+      refusedValues--;
+      return failed(ErrorKind.OVERLOADED);
+    }
+
     private CompletableFuture<Answer> begin(EndpointCommand.Begin begin) {
       if (lacks(begin.after())) {
         return failed(ErrorKind.REPLICA_BEHIND);
