--- a/serving/src/main/java/org/mimosacleat/serving/drain/Drain.java
+++ b/serving/src/main/java/org/mimosacleat/serving/drain/Drain.java
@@ -75,12 +75,8 @@
    * Closes a part of the idle sessions, so that their clients don't all connect elsewhere at once.
    */
   private void closeIdle() {
-    if (progress.takesNewWork()) {
-      int part = Math.ceilDiv(channels.count(), CLOSING_DIVISOR);
-      channels.closeIdle(MINIMUM_IDLE_TIME, Math.max(part, MINIMUM_CLOSED));
-    } else {
-      channels.closeIdle(Duration.ZERO, Integer.MAX_VALUE);
-    }
+    int part = Math.ceilDiv(channels.count(), CLOSING_DIVISOR);
+    channels.closeIdle(MINIMUM_IDLE_TIME, Math.max(part, MINIMUM_CLOSED));
   }
 
   private void endOpenWork() {
