A transaction that a drain rolled back stays failed

Callers of a transaction that ran on this proxy's own connections got READY E with the refusal of a statement during a drain, and READY T for the next SET: the session took it for open again.

Cause: RoutedTransaction.stop rolled back without marking the transaction on the own connections as failed, whose status counts. No statement ran outside of a transaction by it: each next one and COMMIT are refused by the mark of the routed transaction. Now stop aborts it, which marks both.

--- a/serving/src/main/java/org/mimosacleat/serving/session/RoutedTransaction.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/RoutedTransaction.java
@@ -134,7 +134,7 @@
 
   /** Rolls back because the proxy stops before a statement of the transaction would have ended. */
   private Answer stop() {
-    rollback();
+    abort();
     return refuse(ErrorKind.TRANSACTION_LOST, "rolled back: the proxy is stopping");
   }
 
--- a/serving/src/test/java/org/mimosacleat/serving/session/SessionDrainTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/session/SessionDrainTest.java
@@ -85,4 +85,15 @@
     assertEquals(ErrorKind.TRANSACTION_LOST, kind(answer));
     assertEquals(TransactionStatus.FAILED, answer.status());
   }
+
+  /** Guards against a transaction that a client was told has failed and that goes on as open. */
+  @Test
+  void transactionThatTheDrainRolledBackStaysFailed() {
+    proxy.begin(session, false);
+    proxy.write(session);
+    proxy.clock.advance(Duration.ofSeconds(5));
+    proxy.write(session);
+
+    assertEquals(TransactionStatus.FAILED, session.status());
+  }
 }
