Take the open statement from the state that a drain ends

Found by the review, by reading: the drain read the open statement and ended the state one after the other. A statement that was read in between got the refusal of a session's start, BUSY without READY, although it might have begun to run. The ending now carries the statement of the state that it replaces.

--- a/serving/src/main/java/org/mimosacleat/serving/drain/ChannelState.java
+++ b/serving/src/main/java/org/mimosacleat/serving/drain/ChannelState.java
@@ -14,15 +14,18 @@
  */
 public final class ChannelState {
   /** How a connection was ended. */
-  public enum Ending {
+  public sealed interface Ending {
     /** No request was open. */
-    IDLE,
-    /** A request was open; the caller must answer it. */
-    REQUEST_OPEN,
+    record Idle() implements Ending {}
+
+    /** A request was open; the caller must answer it. A session's start has no statement. */
+    record RequestOpen(Optional<StatementId> statement) implements Ending {}
+
     /** The connection's thread is sending an answer, and closes the connection after it. */
-    ANSWERING,
+    record Answering() implements Ending {}
+
     /** The connection had ended before. */
-    ENDED
+    record Earlier() implements Ending {}
   }
 
   private sealed interface State {
@@ -112,10 +115,10 @@
 
   private static Ending ending(State known) {
     return switch (known) {
-      case State.Waiting _ -> Ending.IDLE;
-      case State.Running _ -> Ending.REQUEST_OPEN;
-      case State.Answering _ -> Ending.ANSWERING;
-      case State.Ended _ -> Ending.ENDED;
+      case State.Waiting _ -> new Ending.Idle();
+      case State.Running(Optional<StatementId> statement) -> new Ending.RequestOpen(statement);
+      case State.Answering _ -> new Ending.Answering();
+      case State.Ended _ -> new Ending.Earlier();
     };
   }
 
--- a/serving/src/test/java/org/mimosacleat/serving/drain/ChannelStateTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/drain/ChannelStateTest.java
@@ -85,9 +85,9 @@
     assertTrue(state.requestRead(STATEMENT));
     assertEquals(STATEMENT, state.openStatement());
 
-    assertEquals(ChannelState.Ending.REQUEST_OPEN, state.end());
+    assertEquals(new ChannelState.Ending.RequestOpen(STATEMENT), state.end());
     assertFalse(state.beginAnswer());
-    assertEquals(ChannelState.Ending.ENDED, state.end());
+    assertEquals(new ChannelState.Ending.Earlier(), state.end());
   }
 
   @Test
@@ -95,7 +95,7 @@
     assertTrue(state.requestRead(STATEMENT));
     assertTrue(state.beginAnswer());
 
-    assertEquals(ChannelState.Ending.ANSWERING, state.end());
+    assertEquals(new ChannelState.Ending.Answering(), state.end());
     assertFalse(state.answered(false));
   }
 
@@ -103,7 +103,7 @@
   void idleTransactionEnds() {
     answerOne(true);
 
-    assertEquals(ChannelState.Ending.IDLE, state.end());
+    assertEquals(new ChannelState.Ending.Idle(), state.end());
     assertFalse(state.requestRead(STATEMENT));
   }
 }
