Count the transactions of other proxies before their running requests

Found by the review, by reading: the drain read the running requests first, so a relayed COMMIT that ran between the two reads was in neither count, and the gateway could exit over it. Its proxy would have answered INDOUBT. No test: the two reads are in one expression.

--- a/serving/src/main/java/org/mimosacleat/serving/peer/PeerSession.java
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/PeerSession.java
@@ -119,7 +119,9 @@
   }
 
   int unfinishedWork() {
-    return running.get() + statements.openTransactions();
+    // In this order: a COMMIT ends its transaction before it stops running.
+    int transactions = statements.openTransactions();
+    return transactions + running.get();
   }
 
   private void handle(PeerFrame frame) throws IOException {
