--- a/serving/src/main/java/org/mimosacleat/serving/session/RoutedTransaction.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/RoutedTransaction.java
@@ -179,11 +179,11 @@
 
   @Override
   public void abort() {
+    failed = true;
     if (own != null) {
       own.abort();
     }
     rollBackRelayed();
-    failed = true;
   }
 
   @Override
--- a/serving/src/main/java/org/mimosacleat/serving/session/Session.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/Session.java
@@ -59,11 +59,19 @@
       return answer(statement);
     } catch (RuntimeException | StackOverflowError | OutOfMemoryError unexpected) {
       Logger.error(unexpected, "statement {} ended by an unexpected exception", statement.id());
-      abortTransaction();
+      abortAfterFault();
       return fail(ErrorKind.INTERNAL, "an internal error; whether the statement ran is not known");
     }
   }
 
+  private void abortAfterFault() {
+    try {
+      abortTransaction();
+    } catch (RuntimeException unexpected) {
+      Logger.error(unexpected, "transaction not rolled back after an unexpected exception");
+    }
+  }
+
   private Answer answer(ClientStatement statement) {
     return switch (statement.body()) {
       case StatementBody.Begin(boolean readOnly) -> begin(readOnly);
