--- a/serving/src/main/java/org/mimosacleat/serving/drain/DrainProgress.java
+++ b/serving/src/main/java/org/mimosacleat/serving/drain/DrainProgress.java
@@ -12,10 +12,13 @@
  */
 public final class DrainProgress {
   /** Part of the grace period for the last answers and the exit of the process. */
-  private static final Duration RESERVE = Duration.ofMillis(600);
+  private static final Duration RESERVE = Duration.ofMillis(1_000);
 
-  /** Part of the reserve for the exit of the process alone. */
-  private static final Duration EXIT_RESERVE = Duration.ofMillis(200);
+  /**
+   * Part of the reserve for the exit of the process alone: the runtime waits 300 ms for threads
+   * that are in a call to the system.
+   */
+  private static final Duration EXIT_RESERVE = Duration.ofMillis(500);
 
   /** For the way back of an answer that arrives at the timeout of its statement. */
   private static final Duration ANSWER_MARGIN = Duration.ofMillis(150);
