--- a/serving/src/main/java/org/mimosacleat/serving/drain/Drain.java
+++ b/serving/src/main/java/org/mimosacleat/serving/drain/Drain.java
@@ -43,7 +43,8 @@
   }
 
   /**
-   * Drains; when this returns no client connection is open, and none can be opened.
+   * Drains; when this returns no client connection can be opened, and none is open but those of
+   * clients that don't read their last answer.
    *
    * @param stopAccepting stops accepting client connections; those that were accepted before must
    *     be among the channels when it returns
