Check the use of the primary at each step of a transaction, and once more when a write is answered

Cause: whether this proxy may use the primary was decided when a transaction began. Later statements and COMMIT used the borrowed connection without looking at the lease or at the record. A replacement waits for the lease of a proxy that it can't ask, and then relies on that proxy to have stopped.

Now each step at the primary asks first: the lease is held, the recorded primary is still this endpoint, and no replacement relies on this proxy to stop by itself; else the connection is closed and the answer promises that nothing is kept, which is true since COMMIT was not sent. A planned replacement fences the primary, so transactions go on until then, as before. Between the check and the answer the process can stand still, so success of a write or COMMIT is only passed on if the endpoint is the primary and the lease is held when the answer has arrived; else the outcome is reported as unknown. Reads at the primary are repeated in this case, and positions of its log are not recorded, which let stale reads of a stated age through.

Same class: a pool that left the endpoint list was not found by a stop, which was then confirmed while a connection was out. EndpointPools.closeAll closes those of earlier pools, too.

Relayed statements run through the same class at the gateway.

--- a/serving/src/main/java/org/mimosacleat/serving/endpoint/EndpointPools.java
+++ b/serving/src/main/java/org/mimosacleat/serving/endpoint/EndpointPools.java
@@ -2,6 +2,7 @@
 
 import java.time.InstantSource;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Predicate;
 import org.mimosacleat.core.id.EndpointId;
@@ -18,6 +19,9 @@
   private final Predicate<GroupId> isGateway;
   private final ConcurrentHashMap<EndpointId, EndpointPool> pools = new ConcurrentHashMap<>();
 
+  /** Earlier pools, of which connections may still be in use. */
+  private final Set<EndpointPool> retired = ConcurrentHashMap.newKeySet();
+
   /**
    * Creates an instance without endpoints.
    *
@@ -53,11 +57,22 @@
   public void remove(EndpointId endpoint) {
     EndpointPool pool = pools.remove(endpoint);
     if (pool != null) {
-      pool.close();
+      retire(pool);
     }
     fleet.remove(endpoint);
   }
 
+  /**
+   * Closes all connections to an endpoint, including those in use, so that no further answer is
+   * received; also those of its earlier pools.
+   */
+  public void closeAll(EndpointId endpoint) {
+    find(endpoint).ifPresent(EndpointPool::closeAll);
+    retired.stream()
+        .filter(pool -> pool.entry().id().equals(endpoint))
+        .forEach(EndpointPool::closeAll);
+  }
+
   /** Returns the pool of an endpoint. */
   public Optional<EndpointPool> find(EndpointId endpoint) {
     return Optional.ofNullable(pools.get(endpoint));
@@ -89,11 +104,17 @@
 
   private EndpointPool replace(EndpointPool known, EndpointEntry entry) {
     if (known != null) {
-      known.close();
+      retire(known);
     }
     return new EndpointPool(entry, dialer, clock, sizeFor(entry.group()));
   }
 
+  private void retire(EndpointPool pool) {
+    retired.removeIf(earlier -> earlier.inFlight() == 0);
+    retired.add(pool);
+    pool.close();
+  }
+
   private PoolSize sizeFor(GroupId group) {
     return isGateway.test(group) ? new PoolSize(connectionsTo(group), true) : PoolSize.ON_DEMAND;
   }
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryReplacement.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryReplacement.java
@@ -12,7 +12,6 @@
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.core.position.Position;
 import org.mimosacleat.core.position.Term;
-import org.mimosacleat.serving.endpoint.EndpointPool;
 import org.mimosacleat.serving.fleet.EndpointEntry;
 import org.mimosacleat.serving.version.StoreVersion;
 import org.tinylog.Logger;
@@ -126,7 +125,7 @@
     if (planned && !claim(false)) {
       return Optional.empty();
     }
-    claim.record().primary().flatMap(dependencies.pools()::find).ifPresent(EndpointPool::closeAll);
+    claim.record().primary().ifPresent(dependencies.pools()::closeAll);
     while (dependencies.clock().instant().isBefore(deadline) && ensureRecentClaim()) {
       if (users.haveStopped(claim)) {
         oldPrimaryUnused = true;
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryStop.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryStop.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.TimeoutException;
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.core.position.Term;
-import org.mimosacleat.serving.endpoint.EndpointPool;
 import org.tinylog.Logger;
 
 /** Stops this proxy's use of a primary that is being replaced. */
@@ -67,7 +66,7 @@
     Future<Boolean> fencing = dependencies.executor().submit(() -> fence(record));
     boolean fenced = isDoneInTime(fencing);
     if (!fenced) {
-      record.primary().flatMap(dependencies.pools()::find).ifPresent(EndpointPool::closeAll);
+      record.primary().ifPresent(dependencies.pools()::closeAll);
     }
     return fenced;
   }
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/RecordedPrimary.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/RecordedPrimary.java
@@ -1,6 +1,7 @@
 package org.mimosacleat.serving.promotion;
 
 import org.mimosacleat.serving.routing.GroupState;
+import org.mimosacleat.serving.routing.ReplacementKind;
 import org.mimosacleat.serving.version.StoreVersion;
 
 /**
@@ -18,8 +19,17 @@
     return record.isConfirmedIn(version.era());
   }
 
+  private ReplacementKind replacementKind() {
+    return record
+        .replacement()
+        .map(
+            replacement ->
+                replacement.planned() ? ReplacementKind.PLANNED : ReplacementKind.UNPLANNED)
+        .orElse(ReplacementKind.NONE);
+  }
+
   /** Makes this proxy follow the record, unless it has followed a newer one. */
   void applyTo(GroupState state) {
-    state.followRecord(record.primary(), record.term(), record.replacement().isPresent(), version);
+    state.followRecord(record.primary(), record.term(), replacementKind(), version);
   }
 }
--- a/serving/src/main/java/org/mimosacleat/serving/routing/GroupState.java
+++ b/serving/src/main/java/org/mimosacleat/serving/routing/GroupState.java
@@ -37,6 +37,16 @@
     return now.isUsable() ? now.primary() : Optional.empty();
   }
 
+  /**
+   * Returns whether a transaction that began at an endpoint as the primary may go on there: until a
+   * replacement no longer relies on the endpoint to end it.
+   */
+  boolean allowsOpenTransactions(EndpointId endpoint) {
+    Snapshot now = state.get();
+    return now.primary().equals(Optional.of(endpoint))
+        && now.pause().map(Pause::planned).orElse(true);
+  }
+
   /** Returns the last known primary, whether or not it may be used now. */
   public Optional<EndpointId> lastPrimary() {
     return state.get().primary();
@@ -59,7 +69,7 @@
   public boolean isUnavailable() {
     Snapshot now = state.get();
     Instant usualEnd =
-        now.pausedSince().map(since -> since.plus(USUAL_REPLACEMENT_TIME)).orElse(Instant.MAX);
+        now.pause().map(pause -> pause.since().plus(USUAL_REPLACEMENT_TIME)).orElse(Instant.MAX);
     return now.unreachable() || clock.instant().isAfter(usualEnd);
   }
 
@@ -82,19 +92,20 @@
    * Follows the shared record of the group. A record that is older than one followed before is
    * ignored, so that it can't end a pause.
    *
-   * @param replacing whether the primary is being replaced and must not be used
+   * @param replacement whether the primary is being replaced; new work must not use it then
    * @param version the version of the record
    */
   public void followRecord(
-      Optional<EndpointId> primary, Term term, boolean replacing, StoreVersion version) {
+      Optional<EndpointId> primary, Term term, ReplacementKind replacement, StoreVersion version) {
     Instant now = clock.instant();
-    state.updateAndGet(old -> old.withRecord(primary, term, replacing, version, now));
+    state.updateAndGet(old -> old.withRecord(primary, term, replacement, version, now));
   }
 
   /** Stops the use of the primary of this term until a primary of this or a later term is set. */
   public void pause(Term term) {
     Instant now = clock.instant();
-    state.updateAndGet(old -> old.term().isAfter(term) ? old : old.withPause(now));
+    Pause pause = new Pause(now, false);
+    state.updateAndGet(old -> old.term().isAfter(term) ? old : old.withPause(pause));
   }
 
   /**
@@ -111,29 +122,33 @@
     return state.get().history().positionIncludingWritesBefore(moment);
   }
 
+  /** A pause of the use of the primary; a planned one lets open transactions go on. */
+  private record Pause(Instant since, boolean planned) {}
+
   private record Snapshot(
       Optional<EndpointId> primary,
       Term term,
-      Optional<Instant> pausedSince,
+      Optional<Pause> pause,
       boolean unreachable,
       StoreVersion recordVersion,
       PrimaryPositionHistory history) {
     boolean isUsable() {
-      return pausedSince.isEmpty() && !unreachable;
+      return pause.isEmpty() && !unreachable;
     }
 
     Snapshot withRecord(
         Optional<EndpointId> recorded,
         Term recordedTerm,
-        boolean replacing,
+        ReplacementKind replacement,
         StoreVersion version,
         Instant now) {
       if (recordVersion.isAfter(version)) {
         return this;
       }
-      Snapshot known = new Snapshot(primary, term, pausedSince, unreachable, version, history);
-      if (replacing) {
-        return term.isAfter(recordedTerm) ? known : known.withPause(now);
+      Snapshot known = new Snapshot(primary, term, pause, unreachable, version, history);
+      if (replacement != ReplacementKind.NONE) {
+        Pause newPause = new Pause(now, replacement == ReplacementKind.PLANNED);
+        return term.isAfter(recordedTerm) ? known : known.withPause(newPause);
       }
       return recorded.map(endpoint -> known.withPrimary(endpoint, recordedTerm)).orElse(known);
     }
@@ -154,14 +169,16 @@
               PrimaryPositionHistory.empty());
     }
 
-    Snapshot withPause(Instant now) {
-      Instant since = pausedSince.orElse(now);
-      return new Snapshot(primary, term, Optional.of(since), unreachable, recordVersion, history);
+    /** A pause that goes on keeps its begin. */
+    Snapshot withPause(Pause next) {
+      Instant since = pause.map(Pause::since).orElse(next.since());
+      Optional<Pause> merged = Optional.of(new Pause(since, next.planned()));
+      return new Snapshot(primary, term, merged, unreachable, recordVersion, history);
     }
 
     Snapshot withUnreachable(EndpointId endpoint, boolean nowUnreachable) {
       return primary.equals(Optional.of(endpoint))
-          ? new Snapshot(primary, term, pausedSince, nowUnreachable, recordVersion, history)
+          ? new Snapshot(primary, term, pause, nowUnreachable, recordVersion, history)
           : this;
     }
 
@@ -172,7 +189,7 @@
       return new Snapshot(
           primary,
           position.term(),
-          pausedSince,
+          pause,
           unreachable,
           recordVersion,
           history.with(askedAt, position));
--- a/serving/src/main/java/org/mimosacleat/serving/routing/TargetChooser.java
+++ b/serving/src/main/java/org/mimosacleat/serving/routing/TargetChooser.java
@@ -80,6 +80,20 @@
     return isPrimary(groupStates.of(group), pool) && mayUsePrimary(group);
   }
 
+  /** Returns whether a transaction that began at an endpoint as the primary may go on there now. */
+  public boolean mayContinueAsPrimary(EndpointPool pool, GroupId group) {
+    return groupStates.of(group).allowsOpenTransactions(pool.entry().id()) && mayUsePrimary(group);
+  }
+
+  /**
+   * Returns whether an answer of an endpoint is still one of the primary: nobody can have promoted
+   * another endpoint before it was received.
+   */
+  public boolean isStillPrimary(EndpointPool pool, GroupId group) {
+    boolean known = groupStates.of(group).lastPrimary().equals(Optional.of(pool.entry().id()));
+    return known && mayUsePrimary(group);
+  }
+
   /** Returns the group's primary, or no target if it is unknown or must not be used now. */
   public Target forPrimary(GroupId group) {
     GroupState state = groupStates.of(group);
--- a/serving/src/main/java/org/mimosacleat/serving/session/Attempt.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/Attempt.java
@@ -66,12 +66,35 @@
     BorrowedConnection connection = borrowResult.get();
     if (primary && !dependencies.chooser().mayUseAsPrimary(pool, group)) {
       connection.release();
-      String detail = "the use of primary " + pool.entry().id() + " has ended";
-      return Either.left(retry(new Failure(ErrorKind.UNAVAILABLE, detail), pool, false));
+      return Either.left(retry(useEnded(ErrorKind.UNAVAILABLE, pool), pool, false));
     }
     return Either.right(connection);
   }
 
+  /** Returns whether a transaction that began at the primary may go on there now. */
+  boolean mayContinueAt(EndpointPool pool) {
+    return dependencies.chooser().mayContinueAsPrimary(pool, group);
+  }
+
+  /**
+   * Returns whether an answer of the primary can be relied on. The use of the primary may have
+   * ended while the answer was on its way, and another endpoint may have been promoted since.
+   */
+  boolean isStillPrimary(EndpointPool pool) {
+    return dependencies.chooser().isStillPrimary(pool, group);
+  }
+
+  /** Returns the failure of a statement because the use of the primary has ended. */
+  static Failure useEnded(ErrorKind kind, EndpointPool pool) {
+    return new Failure(kind, "the use of primary " + pool.entry().id() + " has ended");
+  }
+
+  /** Returns the failure of a write that was answered after the use of the primary had ended. */
+  static Failure uncertainWrite(EndpointPool pool) {
+    String detail = "the use of primary " + pool.entry().id() + " ended while the write ran";
+    return new Failure(ErrorKind.CONNECTION_LOST, detail + "; whether it took effect is not known");
+  }
+
   CommandResult run(
       BorrowedConnection connection,
       Optional<PreparedShape> shape,
@@ -91,8 +114,11 @@
     return first.isBefore(second) ? first : second;
   }
 
-  /** Records the primary's log position from an answer that only a primary gives. */
+  /** Records the primary's log position from an answer, unless it may be a former primary's. */
   void recordPrimaryPosition(EndpointPool pool, Instant sentAt, Answer answer) {
+    if (!isStillPrimary(pool)) {
+      return;
+    }
     answer
         .position()
         .ifPresent(
--- a/serving/src/main/java/org/mimosacleat/serving/session/AutocommitStatements.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/AutocommitStatements.java
@@ -86,6 +86,10 @@
       Attempt attempt, BorrowedConnection connection, CommandResult.Answered answered) {
     Answer answer = answered.last();
     EndpointPool pool = connection.pool();
+    if (answer.isDone() && !attempt.isStillPrimary(pool)) {
+      connection.discard();
+      return failed(Attempt.uncertainWrite(pool));
+    }
     if (answer.isDone()) {
       connection.release();
       attempt.recordPrimaryPosition(pool, answered.sentAt(), answer);
@@ -151,6 +155,10 @@
       return retryOrFail(attempt, connection, answer);
     }
     connection.release();
+    if (!attempt.isStillPrimary(connection.pool())) {
+      Failure ended = Attempt.useEnded(ErrorKind.UNAVAILABLE, connection.pool());
+      return Attempt.retry(ended, connection.pool(), false);
+    }
     attempt.recordPrimaryPosition(connection.pool(), begunAt, answer);
     return new AttemptOutcome.Final(answer.withStatus(TransactionStatus.IDLE));
   }
--- a/serving/src/main/java/org/mimosacleat/serving/session/OpenTransaction.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/OpenTransaction.java
@@ -22,7 +22,8 @@
 
 /**
  * The open transaction of a session. It begins on an endpoint with its first statement, so that a
- * client that is idle after BEGIN holds no connection, and keeps that connection until its end.
+ * client that is idle after BEGIN holds no connection, and keeps that connection until its end. At
+ * the primary it goes on only while this proxy may use the primary, which each step checks.
  */
 final class OpenTransaction implements ClientTransaction {
   private static final Duration ROLLBACK_TIMEOUT = Duration.ofMillis(500);
@@ -158,6 +159,9 @@
       borrowed.release();
       return retryOrFail(borrowed.pool(), after, answered.last().failure().orElseThrow());
     }
+    if (isPrimary && !attempt.mayContinueAt(pool)) {
+      return retryElsewhere(borrowed);
+    }
     List<EndpointCommand> first = List.of(statement.command(Optional.empty()));
     CommandResult result = attempt.run(borrowed, statement.shape(), first, deadline);
     return result instanceof CommandResult.Answered ran
@@ -168,6 +172,9 @@
   private AttemptOutcome finishBegin(
       BorrowedConnection borrowed, Optional<Position> after, CommandResult.Answered answered) {
     Answer answer = answered.last();
+    if (answer.isDone() && after.isEmpty() && !attempt.isStillPrimary(borrowed.pool())) {
+      return retryElsewhere(borrowed);
+    }
     if (answer.isDone()) {
       connection = borrowed;
       onPrimary = after.isEmpty();
@@ -178,6 +185,13 @@
     return retryOrFail(borrowed.pool(), after, answer.failure().orElseThrow());
   }
 
+  /** Begins again at the next primary: this proxy may no longer use the present one. */
+  private static AttemptOutcome retryElsewhere(BorrowedConnection borrowed) {
+    borrowed.discard();
+    Failure ended = Attempt.useEnded(ErrorKind.UNAVAILABLE, borrowed.pool());
+    return Attempt.retry(ended, borrowed.pool(), false);
+  }
+
   private AttemptOutcome retryOrFail(EndpointPool pool, Optional<Position> after, Failure failure) {
     boolean isPrimary = after.isEmpty();
     return switch (failure.kind()) {
@@ -208,24 +222,42 @@
   }
 
   private Answer runNext(ForwardedStatement statement) {
-    CommandResult result = runUnlessBusy(statement);
-    if (result instanceof CommandResult.Answered answered) {
+    Optional<CommandResult> result = runUnlessBusy(statement);
+    if (result.isEmpty()) {
+      return abandon(TransactionStatus.FAILED);
+    }
+    if (result.get() instanceof CommandResult.Answered answered) {
       recordPosition(answered, answered.last());
       return answered.last();
     }
-    return Answer.failed(transactionLost(discardConnection(result)), TransactionStatus.FAILED);
+    Failure lost = discardConnection(result.get());
+    return Answer.failed(transactionLost(lost), TransactionStatus.FAILED);
   }
 
-  /** Resends a statement while the endpoint has no free slot but keeps the transaction open. */
-  private CommandResult runUnlessBusy(ForwardedStatement statement) {
+  /**
+   * Resends a statement while the endpoint has no free slot but keeps the transaction open.
+   *
+   * @return the last result; empty if the transaction must not go on at its endpoint, where the
+   *     statement has then not run
+   */
+  private Optional<CommandResult> runUnlessBusy(ForwardedStatement statement) {
     Instant now = dependencies.clock().instant();
     Instant deadline = now.plus(route.statementTimeout());
     List<EndpointCommand> commands = List.of(statement.command(Optional.empty()));
-    CommandResult result = attempt.run(connection, statement.shape(), commands, deadline);
-    while (wasBusy(result) && dependencies.retryLoop().pause(deadline)) {
-      result = attempt.run(connection, statement.shape(), commands, deadline);
+    while (!onPrimary || attempt.mayContinueAt(connection.pool())) {
+      CommandResult result = attempt.run(connection, statement.shape(), commands, deadline);
+      if (!wasBusy(result) || !dependencies.retryLoop().pause(deadline)) {
+        return Optional.of(result);
+      }
     }
-    return result;
+    return Optional.empty();
+  }
+
+  /** Rolls back by closing the connection, because the use of its primary has ended. */
+  private Answer abandon(TransactionStatus status) {
+    EndpointPool pool = connection.pool();
+    discardConnection();
+    return Answer.failed(Attempt.useEnded(ErrorKind.TRANSACTION_LOST, pool), status);
   }
 
   private static boolean wasBusy(CommandResult result) {
@@ -236,11 +268,19 @@
 
   /** Commits; without an answer the outcome is unknown, unless there was nothing to commit. */
   private Answer sendCommit(ForwardedStatement statement) {
-    CommandResult result = runUnlessBusy(statement);
-    if (!(result instanceof CommandResult.Answered answered)) {
-      Failure failure = discardConnection(result);
+    Optional<CommandResult> result = runUnlessBusy(statement);
+    if (result.isEmpty()) {
+      return abandon(TransactionStatus.IDLE);
+    }
+    if (!(result.get() instanceof CommandResult.Answered answered)) {
+      Failure failure = discardConnection(result.get());
       return Answer.failed(wrote ? failure : transactionLost(failure), TransactionStatus.IDLE);
     }
+    if (answered.last().isDone() && wrote && !attempt.isStillPrimary(connection.pool())) {
+      Failure uncertain = Attempt.uncertainWrite(connection.pool());
+      discardConnection();
+      return Answer.failed(uncertain, TransactionStatus.IDLE);
+    }
     recordPosition(answered, answered.last());
     if (answered.last().isDone() && wrote) {
       attempt.recordWrite(answered.last());
@@ -248,6 +288,11 @@
     return answered.last();
   }
 
+  private void discardConnection() {
+    connection.discard();
+    connection = null;
+  }
+
   private Failure discardConnection(CommandResult result) {
     BorrowedConnection lost = connection;
     connection = null;
--- a/serving/src/test/java/org/mimosacleat/serving/FakeEndpoint.java
+++ b/serving/src/test/java/org/mimosacleat/serving/FakeEndpoint.java
@@ -40,6 +40,12 @@
   public boolean reachable = true;
   public boolean breaksAfterRun;
 
+  /** Runs after each statement of a client, before its answer is received. */
+  public Runnable beforeAnswer = () -> {};
+
+  /** Runs before each scripted refusal. */
+  public Runnable beforeRefusal = () -> {};
+
   /** The rows of each answer to a statement of a client. */
   public List<String> rows = List.of();
 
@@ -165,6 +171,7 @@
     private CompletableFuture<Answer> run(String text, Optional<Position> after) {
       ErrorKind refusal = refusals.poll();
       if (refusal != null) {
+        beforeRefusal.run();
         return failed(refusal);
       }
       if (lacks(after)) {
@@ -176,6 +183,7 @@
       }
       ran.add(status == TransactionStatus.IDLE ? text : "in transaction: " + text);
       number += writes ? 1 : 0;
+      beforeAnswer.run();
       if (breaksAfterRun) {
         open = false;
         return broken();
--- a/serving/src/test/java/org/mimosacleat/serving/ServingFixture.java
+++ b/serving/src/test/java/org/mimosacleat/serving/ServingFixture.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import org.mimosacleat.core.error.Failure;
 import org.mimosacleat.core.id.TeamId;
+import org.mimosacleat.core.position.Position;
 import org.mimosacleat.core.position.Term;
 import org.mimosacleat.core.time.PausedClock;
 import org.mimosacleat.serving.access.AccessControl;
@@ -33,6 +34,7 @@
 import org.mimosacleat.serving.fleet.Teams;
 import org.mimosacleat.serving.limits.TeamLimits;
 import org.mimosacleat.serving.relay.Relay;
+import org.mimosacleat.serving.relay.RelayContext;
 import org.mimosacleat.serving.routing.GroupState;
 import org.mimosacleat.serving.routing.GroupStates;
 import org.mimosacleat.serving.routing.SuspensionDetector;
@@ -144,6 +146,18 @@
             teams));
   }
 
+  /** Returns what a gateway must know of a statement of a caller without a team. */
+  public RelayContext relayContext(DatabaseName database) {
+    return new RelayContext(
+        fleet.snapshot().configuration().orElseThrow().route(database).orElseThrow(),
+        Optional.empty(),
+        Optional.empty(),
+        1,
+        Map.of(),
+        Position.NONE,
+        Duration.ZERO);
+  }
+
   /** Returns the state of the only group. */
   public GroupState groupState() {
     return groupStates.of(FakeEndpoint.GROUP);
--- a/serving/src/test/java/org/mimosacleat/serving/relay/RelayTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/relay/RelayTest.java
@@ -4,14 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.time.Duration;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.mimosacleat.core.connection.TransactionStatus;
 import org.mimosacleat.core.error.ErrorKind;
-import org.mimosacleat.core.position.Position;
 import org.mimosacleat.serving.ServingFixture;
 import org.mimosacleat.serving.session.Session;
 import org.mimosacleat.serving.statement.Answer;
@@ -176,15 +173,7 @@
 
   @Test
   void statementOfUnknownTransactionIsNotRun() {
-    RelayContext context =
-        new RelayContext(
-            proxy.fleet.snapshot().configuration().get().route(ServingFixture.LATEST).get(),
-            Optional.empty(),
-            Optional.empty(),
-            1,
-            Map.of(),
-            Position.NONE,
-            Duration.ZERO);
+    RelayContext context = proxy.relayContext(ServingFixture.LATEST);
     ForwardedStatement write =
         new ForwardedStatement(new StatementId("w"), "WRITE a 1", true, Optional.empty(), "");
 
