Admit the caller of a transaction at each of its statements

Now each statement and COMMIT is admitted; if it is refused, the transaction is rolled back and the answer is that refusal, which is true since nothing was sent. A key that has moved to another team ends the transaction too, whose connection is bound to the first.

SessionAccessTest.openTransactionContinuesAfterRevocation required the fault: it is replaced by five tests that require the refusal (statement, COMMIT, age of the configuration unknown, other team, at a gateway with a newer configuration). All five failed before.

--- a/serving/src/main/java/org/mimosacleat/serving/session/RelayedStatements.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/RelayedStatements.java
@@ -126,28 +126,10 @@
   private RelayReply runInTransaction(
       Optional<RelayedTransaction> transaction, RelayRequest.RunInTransaction run) {
     return transaction
-        .map(known -> run(known, run.context(), open -> runAdmitted(known.state, open, run)))
+        .map(known -> run(known, run.context(), open -> open.run(run.statement())))
         .orElseGet(() -> lost(run.context()));
   }
 
-  /**
-   * Runs a statement of a transaction; the first one only if its caller is admitted. A transaction
-   * that has begun keeps its team, because its connection is bound to that team.
-   */
-  private Answer runAdmitted(
-      SessionState state, OpenTransaction open, RelayRequest.RunInTransaction run) {
-    if (!run.first()) {
-      return open.run(run.statement());
-    }
-    Either<Failure, Void> admitted = admit(state, run.context());
-    if (admitted.isLeft()) {
-      // Marks the transaction as failed, so that a COMMIT of it is not acknowledged.
-      open.abort();
-      return Answer.failed(admitted.getLeft(), TransactionStatus.FAILED);
-    }
-    return open.run(run.statement());
-  }
-
   private Either<Failure, Void> admit(SessionState state, RelayContext context) {
     return new Admission(dependencies, state, context.route().database()).admitRelayed(context);
   }
@@ -172,13 +154,27 @@
         return lost(context);
       }
       restore(transaction.state, context);
-      Answer answer = work.apply(transaction.open);
+      Answer answer = applyIfAdmitted(transaction, context, work);
       return new RelayReply(answer, transaction.state.lastWrite(context.route().group()));
     } finally {
       transaction.lock.unlock();
     }
   }
 
+  /** Does work of a transaction, whose caller's key may have been taken away meanwhile. */
+  private Answer applyIfAdmitted(
+      RelayedTransaction transaction,
+      RelayContext context,
+      Function<OpenTransaction, Answer> work) {
+    Either<Failure, Void> admitted = admit(transaction.state, context);
+    if (admitted.isLeft()) {
+      // Marks the transaction as failed, so that a COMMIT of it is not acknowledged.
+      transaction.open.abort();
+      return Answer.failed(admitted.getLeft(), TransactionStatus.FAILED);
+    }
+    return work.apply(transaction.open);
+  }
+
   private RelayReply rollBack(long number) {
     Optional<RelayedTransaction> known = Optional.ofNullable(transactions.remove(number));
     known.ifPresent(
--- a/serving/src/main/java/org/mimosacleat/serving/session/RoutedTransaction.java
+++ b/serving/src/main/java/org/mimosacleat/serving/session/RoutedTransaction.java
@@ -6,6 +6,7 @@
 import org.mimosacleat.core.connection.TransactionStatus;
 import org.mimosacleat.core.error.ErrorKind;
 import org.mimosacleat.core.error.Failure;
+import org.mimosacleat.core.id.TeamId;
 import org.mimosacleat.serving.fleet.Route;
 import org.mimosacleat.serving.relay.Gateway;
 import org.mimosacleat.serving.relay.GatewayConnection;
@@ -29,6 +30,7 @@
   private final long number;
   private GatewayConnection gateway;
   private OpenTransaction own;
+  private Optional<TeamId> team = Optional.empty();
   private boolean wrote;
   private boolean failed;
 
@@ -62,6 +64,10 @@
     if (!canFinish()) {
       return stop();
     }
+    Either<Failure, Void> admitted = admit();
+    if (admitted.isLeft()) {
+      return end(admitted.getLeft());
+    }
     Answer answer = own != null ? own.run(statement) : runRelayed(statement);
     failed = !answer.isDone();
     wrote = wrote || statement.writes();
@@ -71,8 +77,7 @@
   private Answer runRelayed(ForwardedStatement statement) {
     RelayTimes times = newTimes();
     if (gateway == null) {
-      Either<Failure, Void> admitted = admission.admitTransaction(route);
-      return admitted.isLeft() ? refuse(admitted.getLeft()) : begin(statement, times);
+      return begin(statement, times);
     }
     RelayRequest request =
         new RelayRequest.RunInTransaction(
@@ -128,14 +133,40 @@
     return Optional.empty();
   }
 
+  /**
+   * Admits the caller to one more statement, whose key may have been taken away meanwhile. The
+   * transaction stays with the team that it began with, since its connection is bound to that team.
+   */
+  private Either<Failure, Void> admit() {
+    Either<Failure, Void> admitted = admission.admitTransaction(route);
+    if (admitted.isLeft()) {
+      return admitted;
+    }
+    if (hasBegun() && !session.team().equals(team)) {
+      String detail = "rolled back: the key belongs to another team than when it began";
+      return Either.left(new Failure(ErrorKind.TRANSACTION_LOST, detail));
+    }
+    team = session.team();
+    return admitted;
+  }
+
+  private boolean hasBegun() {
+    return gateway != null || own != null;
+  }
+
   private boolean canFinish() {
     return dependencies.drain().canFinish(route.statementTimeout());
   }
 
   /** Rolls back because the proxy stops before a statement of the transaction would have ended. */
   private Answer stop() {
+    return end(new Failure(ErrorKind.TRANSACTION_LOST, "rolled back: the proxy is stopping"));
+  }
+
+  /** Rolls back and refuses the statement. */
+  private Answer end(Failure failure) {
     abort();
-    return refuse(ErrorKind.TRANSACTION_LOST, "rolled back: the proxy is stopping");
+    return refuse(failure);
   }
 
   @Override
@@ -149,11 +180,11 @@
     if (!canFinish()) {
       return stop().withStatus(TransactionStatus.IDLE);
     }
-    if (gateway == null && own == null) {
-      Either<Failure, Void> admitted = admission.admitTransaction(route);
-      if (admitted.isLeft()) {
-        return refuse(admitted.getLeft()).withStatus(TransactionStatus.IDLE);
-      }
+    Either<Failure, Void> admitted = admit();
+    if (admitted.isLeft()) {
+      return end(admitted.getLeft()).withStatus(TransactionStatus.IDLE);
+    }
+    if (!hasBegun()) {
       own = new OpenTransaction(dependencies, session, route, readOnly);
     }
     if (own != null) {
--- a/serving/src/test/java/org/mimosacleat/serving/session/SessionAccessTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/session/SessionAccessTest.java
@@ -31,6 +31,7 @@
   private static final ApiKey KEY = new ApiKey("crew-key-71");
   private static final TeamId CREW = new TeamId("crew");
   private static final TeamId GUILD = new TeamId("guild");
+  private static final List<String> ONE_WRITE = List.of("in transaction: WRITE a 1");
   private static final Duration TOO_OLD = Duration.ofMillis(4_200);
 
   private final ServingFixture proxy = fixture(Relay.NONE);
@@ -99,16 +100,70 @@
     assertEquals(List.of(), proxy.primary.ran);
   }
 
+  /** Guards against statements that go on in a transaction after their key was taken away. */
   @Test
-  void openTransactionContinuesAfterRevocation() {
-    proxy.configure(2, teams(CREW, KEY));
-    Session session = proxy.session(ServingFixture.LATEST, KEY);
-    proxy.begin(session, false);
-    proxy.write(session);
+  void statementOfOpenTransactionIsRefusedAfterRevocation() {
+    Session session = openTransaction(proxy);
     proxy.configure(3, teams(CREW));
 
-    assertTrue(proxy.write(session).isDone());
-    assertTrue(proxy.commit(session).isDone());
+    Answer refused = proxy.write(session);
+
+    assertTrue(refused.hasFailed(ErrorKind.AUTHENTICATION_FAILED));
+    assertEquals(TransactionStatus.FAILED, refused.status());
+    assertTrue(proxy.commit(session).hasFailed(ErrorKind.TRANSACTION_LOST));
+    assertEquals(ONE_WRITE, proxy.primary.ran);
+  }
+
+  /** Guards against a transaction that is committed after its key was taken away. */
+  @Test
+  void commitIsRefusedAfterRevocation() {
+    Session session = openTransaction(proxy);
+    proxy.configure(3, teams(CREW));
+
+    assertTrue(proxy.commit(session).hasFailed(ErrorKind.AUTHENTICATION_FAILED));
+    assertEquals(TransactionStatus.IDLE, session.status());
+    assertEquals(ONE_WRITE, proxy.primary.ran);
+  }
+
+  /** Guards against the same while a revocation may not be known yet. */
+  @Test
+  void commitIsRefusedWhileConfigurationIsTooOld() {
+    Session session = openTransaction(proxy);
+    proxy.configurationAge = TOO_OLD;
+
+    assertTrue(proxy.commit(session).hasFailed(ErrorKind.UNAVAILABLE));
+    assertEquals(ONE_WRITE, proxy.primary.ran);
+  }
+
+  /** Guards against a transaction that goes on for a team to which its key no longer belongs. */
+  @Test
+  void transactionOfAnEarlierTeamIsRolledBack() {
+    Session session = openTransaction(proxy);
+    proxy.configure(3, teams(GUILD, KEY));
+
+    assertTrue(proxy.commit(session).hasFailed(ErrorKind.TRANSACTION_LOST));
+    assertEquals(ONE_WRITE, proxy.primary.ran);
+  }
+
+  /** Guards against an outdated proxy that commits at a gateway what is revoked. */
+  @Test
+  void gatewayWithNewerConfigurationRefusesCommitOfRevokedKey() {
+    FakeGateway gateway = new FakeGateway();
+    ServingFixture relaying = fixture(new FakeRelay(gateway));
+    gateway.proxy.configure(2, teams(CREW, KEY));
+    Session session = openTransaction(relaying);
+    gateway.proxy.configure(3, teams(CREW));
+
+    assertTrue(relaying.commit(session).hasFailed(ErrorKind.AUTHENTICATION_FAILED));
+    assertEquals(ONE_WRITE, gateway.proxy.primary.ran);
+  }
+
+  private static Session openTransaction(ServingFixture at) {
+    at.configure(2, teams(CREW, KEY));
+    Session session = at.session(ServingFixture.LATEST, KEY);
+    at.begin(session, false);
+    assertTrue(at.write(session).isDone());
+    return session;
   }
 
   /** Guards against a session that keeps a team to which its key no longer belongs. */
