Choose the promoted endpoint among all that may have acknowledged commits

Cause: a draining endpoint was no candidate at all, one that did not answer STATUS counted as one with an empty log, and nobody read the number of synchronous replicas. With that number k, each commit is on k replicas, so a choice can only be certain if fewer than k have not been heard, or if the primary was fenced and the chosen one has the end of its log.

PromotionChoice now decides, without I/O. A fenced primary leads again if only it is known to have all commits. Without synchronous replicas nothing waits longer than before.

--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryReplacement.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryReplacement.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -13,6 +14,7 @@
 import org.mimosacleat.core.position.Position;
 import org.mimosacleat.core.position.Term;
 import org.mimosacleat.serving.fleet.EndpointEntry;
+import org.mimosacleat.serving.fleet.GroupSettings;
 import org.mimosacleat.serving.version.StoreVersion;
 import org.tinylog.Logger;
 
@@ -50,6 +52,7 @@
   private RecordedPrimary claim;
   private Instant claimedAt = Instant.MIN;
   private boolean oldPrimaryUnused;
+  private boolean waitsForSilent;
   private final PrimaryUsers users;
 
   PrimaryReplacement(FailoverDependencies dependencies, RecordedPrimary recorded) {
@@ -79,7 +82,7 @@
       Logger.warn("{}: replacement cancelled: the old primary may still be in use", group);
       return false;
     }
-    return promote(fencedAt.orElse(Position.NONE), deadline);
+    return promote(fencedAt, deadline);
   }
 
   /** Claims the replacement or renews the claim; returns false if another proxy has claimed it. */
@@ -99,6 +102,7 @@
     }
     claim = new RecordedPrimary(next, written.get());
     claimedAt = sentAt;
+    refusedEndpoints.clear();
     dependencies.records().put(claim);
     return true;
   }
@@ -145,24 +149,28 @@
         .flatMap(old -> dependencies.administration().fence(old, claim.record().term().next()));
   }
 
-  private boolean promote(Position requiredPosition, Instant deadline) {
+  private boolean promote(Optional<Position> fencedAt, Instant deadline) {
+    PromotionChoice choice = new PromotionChoice(synchronousReplicas(), fencedAt);
     Instant catchUpEnd = dependencies.clock().instant().plus(CATCH_UP_TIMEOUT);
     while (dependencies.clock().instant().isBefore(deadline)) {
-      List<Candidate> candidates = candidates();
+      boolean mayWait = dependencies.clock().instant().isBefore(catchUpEnd);
+      List<EndpointEntry> others = otherEndpoints();
+      List<Candidate> candidates = statusPoller.poll(others);
+      choice.observe(others, candidates);
+      boolean needsOldPrimary = fencedAt.isPresent() && choice.mayLackCommits() && !mayWait;
+      if (others.isEmpty() || needsOldPrimary) {
+        candidates = withOldPrimary(candidates);
+      }
       Optional<Candidate> newPrimary =
           Candidate.primaryOfLaterTerm(candidates, claim.record().term());
       if (newPrimary.isPresent()) {
         return recordPrimary(newPrimary.get());
       }
-      Optional<Candidate> best =
-          candidates.stream()
-              .filter(candidate -> !refusedEndpoints.contains(candidate.entry().id()))
-              .max(Candidate.BY_LOG_POSITION_AND_UPTIME);
-      boolean ready =
-          best.isPresent()
-              && (best.get().status().received().includes(requiredPosition)
-                  || !dependencies.clock().instant().isBefore(catchUpEnd));
-      if (!ready) {
+      Optional<Candidate> best = choice.choose(selectable(candidates), mayWait);
+      if (best.isEmpty()) {
+        if (!canWait(choice)) {
+          return false;
+        }
         dependencies.sleeper().sleep(STATUS_POLL_INTERVAL);
         continue;
       }
@@ -174,6 +182,40 @@
     return false;
   }
 
+  /**
+   * Waits for endpoints that may have the only copy of acknowledged commits. The claim is kept only
+   * while none of them is listed: a proxy that reaches one which is listed may take over.
+   */
+  private boolean canWait(PromotionChoice choice) {
+    if (!choice.mayLackCommits()) {
+      return true;
+    }
+    if (!waitsForSilent) {
+      waitsForSilent = true;
+      Logger.warn(
+          "{}: no promotion yet: acknowledged commits may be only on {}, which do not answer",
+          group,
+          choice.silent());
+    }
+    return !choice.missesOnlyUnlisted() || ensureRecentClaim();
+  }
+
+  private List<Candidate> selectable(List<Candidate> candidates) {
+    return candidates.stream()
+        .filter(candidate -> !refusedEndpoints.contains(candidate.entry().id()))
+        .toList();
+  }
+
+  private int synchronousReplicas() {
+    return dependencies
+        .fleet()
+        .snapshot()
+        .configuration()
+        .map(configuration -> configuration.groups().get(group))
+        .map(GroupSettings::synchronousReplicas)
+        .orElse(0);
+  }
+
   private void requestPromotion(Candidate best) {
     Logger.info(
         "{}: requesting promotion of {} at log position {}, token {}",
@@ -242,19 +284,17 @@
     return claim.record().primary().map(id -> dependencies.fleet().snapshot().endpoints().get(id));
   }
 
-  /**
-   * Returns the candidates that answered. Draining endpoints are excluded; the old primary is
-   * included only if no other endpoint remains.
-   */
-  private List<Candidate> candidates() {
-    List<EndpointEntry> remaining =
-        dependencies.fleet().snapshot().endpointsOf(group).stream()
-            .filter(entry -> !entry.draining())
-            .toList();
-    List<EndpointEntry> others =
-        remaining.stream()
-            .filter(entry -> !claim.record().primary().equals(Optional.of(entry.id())))
-            .toList();
-    return statusPoller.poll(others.isEmpty() ? remaining : others);
+  /** Returns the listed endpoints other than the old primary; those that drain have a log, too. */
+  private List<EndpointEntry> otherEndpoints() {
+    return dependencies.fleet().snapshot().endpointsOf(group).stream()
+        .filter(entry -> !claim.record().primary().equals(Optional.of(entry.id())))
+        .toList();
+  }
+
+  /** Adds the old primary, if it answers: it has every commit that it has acknowledged. */
+  private List<Candidate> withOldPrimary(List<Candidate> others) {
+    List<Candidate> all = new ArrayList<>(others);
+    all.addAll(statusPoller.poll(oldPrimary().stream().toList()));
+    return all;
   }
 }
--- a/serving/src/test/java/org/mimosacleat/serving/ServingFixture.java
+++ b/serving/src/test/java/org/mimosacleat/serving/ServingFixture.java
@@ -134,6 +134,11 @@
 
   /** Applies a configuration with these teams. */
   public void configure(long version, Teams teams) {
+    configure(version, teams, 0);
+  }
+
+  /** Applies a configuration with these teams and a number of synchronous replicas. */
+  public void configure(long version, Teams teams, int synchronousReplicas) {
     fleet.applyIfNewer(
         new Configuration(
             version,
@@ -141,7 +146,9 @@
                 LATEST, route(LATEST, new ReadConsistency.Latest(), false),
                 OWN, route(OWN, new ReadConsistency.ReadYourWrites(AGE), false),
                 PUBLIC, route(PUBLIC, new ReadConsistency.Latest(), true)),
-            Map.of(FakeEndpoint.GROUP, new GroupSettings(FakeEndpoint.GROUP, CONNECTIONS, 0)),
+            Map.of(
+                FakeEndpoint.GROUP,
+                new GroupSettings(FakeEndpoint.GROUP, CONNECTIONS, synchronousReplicas)),
             Duration.ofSeconds(3),
             teams));
   }
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryReplacementTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryReplacementTest.java
@@ -25,6 +25,7 @@
 import org.mimosacleat.serving.FakeMember;
 import org.mimosacleat.serving.ServingFixture;
 import org.mimosacleat.serving.fleet.EndpointRole;
+import org.mimosacleat.serving.fleet.Teams;
 import org.mimosacleat.serving.version.StoreVersion;
 
 class PrimaryReplacementTest {
@@ -85,6 +86,52 @@
     assertTrue(group.requests.getFirst().startsWith("promote y"));
   }
 
+  /** Guards against acknowledged commits that are lost though a draining replica has them. */
+  @Test
+  void drainingReplicaWithTheCommitsIsPromoted() {
+    proxy.pools.put(otherReplica.entry(true, 1));
+    otherReplica.number = 11;
+    oldPrimary.reachable = false;
+
+    assertTrue(run(false));
+
+    assertTrue(group.requests.getFirst().startsWith("promote y"));
+  }
+
+  /** Guards against acknowledged commits that only an endpoint has which does not answer. */
+  @Test
+  void nobodyIsPromotedWhileASynchronousReplicaIsSilent() {
+    proxy.configure(2, Teams.NOT_CONFIGURED, 1);
+    otherReplica.reachable = false;
+    oldPrimary.reachable = false;
+
+    assertFalse(run(false));
+
+    assertEquals(List.of(), group.requests);
+  }
+
+  @Test
+  void replacementWithoutSynchronousReplicasDoesNotWaitForSilentEndpoints() {
+    otherReplica.reachable = false;
+    oldPrimary.reachable = false;
+
+    assertTrue(run(false));
+
+    assertTrue(group.requests.getFirst().startsWith("promote r"));
+  }
+
+  /** Guards against a primary that is replaced by one that lacks its commits. */
+  @Test
+  void fencedPrimaryLeadsAgainIfItAloneHasTheCommits() {
+    proxy.configure(2, Teams.NOT_CONFIGURED, 1);
+    otherReplica.reachable = false;
+    replica.number = oldPrimary.number - 1;
+
+    assertTrue(run(true));
+
+    assertTrue(group.requests.get(1).startsWith("promote p"), group.requests.toString());
+  }
+
   @Test
   void unreachablePrimaryIsNotReplacedWhileAnotherProxyMayUseIt() {
     oldPrimary.reachable = false;
