One guard for all tasks that must not end

What callers would see: after one unexpected exception a proxy no longer renewed its lease, no longer replaced the primaries of a group, followed no other proxy, accepted no connection or opened no connection to another proxy, until it was started again; it stayed ready meanwhile.

RepeatedStep is the guard; pollers, lease renewals, failover of groups, feeds between proxies and limits of teams use it. The listener and the reconnecting task have their own loops, and go on as well.

The reconnecting task and the limits have no test of their own.

--- a/serving/src/main/java/org/mimosacleat/serving/feed/FeedFollower.java
+++ b/serving/src/main/java/org/mimosacleat/serving/feed/FeedFollower.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.mimosacleat.core.id.VmId;
 import org.mimosacleat.core.time.Sleeper;
+import org.mimosacleat.serving.process.RepeatedStep;
 import org.tinylog.Logger;
 
 /**
@@ -55,11 +56,13 @@
   /** Chooses the proxy to follow and asks it, again and again. */
   @Override
   public void run() {
-    while (!Thread.currentThread().isInterrupted()) {
-      chooseSource();
-      ask();
-      sleeper.sleep(ASK_INTERVAL);
-    }
+    new RepeatedStep("the store feeds of other proxies", this::next, sleeper).run();
+  }
+
+  private void next() {
+    chooseSource();
+    ask();
+    sleeper.sleep(ASK_INTERVAL);
   }
 
   /** Returns whether all changes arrive in time, so that the store need not be asked. */
--- a/serving/src/main/java/org/mimosacleat/serving/limits/FleetTeamLimits.java
+++ b/serving/src/main/java/org/mimosacleat/serving/limits/FleetTeamLimits.java
@@ -25,6 +25,7 @@
 import org.mimosacleat.core.id.TeamId;
 import org.mimosacleat.core.id.VmId;
 import org.mimosacleat.core.time.Sleeper;
+import org.mimosacleat.serving.process.RepeatedStep;
 
 /**
  * Admits operations up to this proxy's shares of the teams' limits, and reports demand to the limit
@@ -177,10 +178,8 @@
   }
 
   private void run() {
-    while (!Thread.currentThread().isInterrupted() && !limits.teams().isEmpty()) {
-      tick();
-      sleeper.sleep(TICK);
-    }
+    BooleanSupplier areLimited = () -> !limits.teams().isEmpty();
+    new RepeatedStep("the limits of teams", this::next, sleeper).runWhile(areLimited);
     running.set(false);
     // A limit may have been added after the last check.
     if (!Thread.currentThread().isInterrupted()) {
@@ -188,6 +187,11 @@
     }
   }
 
+  private void next() {
+    tick();
+    sleeper.sleep(TICK);
+  }
+
   /** Starts the store calls and reports that are due. */
   void tick() {
     Instant now = clock.instant();
--- a/serving/src/main/java/org/mimosacleat/serving/network/ConnectionListener.java
+++ b/serving/src/main/java/org/mimosacleat/serving/network/ConnectionListener.java
@@ -101,6 +101,9 @@
           Logger.warn("connection could not be accepted: {}", failed.getMessage());
           sleeper.sleep(PAUSE_AFTER_FAILURE);
         }
+      } catch (RuntimeException | Error unexpected) {
+        Logger.error(unexpected, "connection not served; accepting the next one");
+        sleeper.sleep(PAUSE_AFTER_FAILURE);
       }
     }
   }
--- a/serving/src/main/java/org/mimosacleat/serving/peer/PeerLinks.java
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/PeerLinks.java
@@ -257,7 +257,7 @@
         peer.connecting.set(false);
         Logger.info("connected to proxy {}{}", vm, failed ? " again" : "");
         return;
-      } catch (IOException unreachable) {
+      } catch (IOException | RuntimeException unreachable) {
         if (!failed) {
           Logger.info("proxy {} is unreachable, retrying: {}", vm, unreachable.getMessage());
         }
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/GroupFailoverController.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/GroupFailoverController.java
@@ -10,6 +10,7 @@
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.core.position.Term;
 import org.mimosacleat.serving.fleet.EndpointEntry;
+import org.mimosacleat.serving.process.RepeatedStep;
 import org.mimosacleat.serving.routing.GroupState;
 import org.mimosacleat.serving.version.StoreVersion;
 import org.tinylog.Logger;
@@ -77,17 +78,14 @@
 
   @Override
   public void run() {
-    try {
-      while (true) {
-        boolean watches = dependencies.isGateway().test(group);
-        Duration interval = watches ? EVALUATION_INTERVAL : LONG_EVALUATION_INTERVAL;
-        Optional<String> reason =
-            pendingEvaluations.poll(interval.toMillis(), TimeUnit.MILLISECONDS);
-        evaluate(reason == null ? Optional.empty() : reason);
-      }
-    } catch (InterruptedException stopped) {
-      Thread.currentThread().interrupt();
-    }
+    new RepeatedStep("the failover of " + group, this::next, dependencies.sleeper()).run();
+  }
+
+  private void next() throws InterruptedException {
+    boolean watches = dependencies.isGateway().test(group);
+    Duration interval = watches ? EVALUATION_INTERVAL : LONG_EVALUATION_INTERVAL;
+    Optional<String> reason = pendingEvaluations.poll(interval.toMillis(), TimeUnit.MILLISECONDS);
+    evaluate(reason == null ? Optional.empty() : reason);
   }
 
   /** Evaluates the group once; {@code reason} says why the primary is suspected, if it is. */
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/LeaseRenewer.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/LeaseRenewer.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 import org.mimosacleat.core.time.Sleeper;
 import org.mimosacleat.serving.peer.FleetMember;
+import org.mimosacleat.serving.process.RepeatedStep;
 import org.mimosacleat.serving.renewal.BatchedRenewals;
 import org.mimosacleat.serving.version.StoreVersion;
 import org.tinylog.Logger;
@@ -33,6 +34,8 @@
   private final AtomicBoolean listRequested = new AtomicBoolean();
   private boolean failing;
   private Duration sinceList = MAX_LIST_INTERVAL;
+  private int renewals;
+  private boolean urgent = true;
 
   /**
    * Creates a renewer.
@@ -60,28 +63,28 @@
 
   @Override
   public void run() {
-    int renewals = 0;
-    boolean urgent = true;
-    while (!Thread.currentThread().isInterrupted()) {
-      // Lists again after the first renewal: proxies that started with this one are listed then.
-      boolean afterFirstRenewal = renewals == 1;
-      if (afterFirstRenewal || sinceList.compareTo(MAX_LIST_INTERVAL) >= 0) {
-        listProxies();
-      }
-      boolean renewed = renew(urgent).isRight();
-      logStatusChange(renewed);
-      renewals += renewed ? 1 : 0;
-      if (renewed) {
-        urgent = !waitForNextRenewal();
-      } else {
-        urgent = true;
-        sleeper.sleep(RETRY_INTERVAL);
-      }
+    new RepeatedStep("the lease renewals", this::next, sleeper).run();
+  }
+
+  private void next() {
+    // Lists again after the first renewal: proxies that started with this one are listed then.
+    boolean afterFirstRenewal = renewals == 1;
+    if (afterFirstRenewal || sinceList.compareTo(MAX_LIST_INTERVAL) >= 0) {
+      listProxies();
+    }
+    boolean renewed = renew(urgent).isRight();
+    logStatusChange(renewed);
+    renewals += renewed ? 1 : 0;
+    if (renewed) {
+      urgent = !waitForNextRenewal();
+    } else {
+      urgent = true;
+      sleeper.sleep(RETRY_INTERVAL);
     }
   }
 
-  private Either<RecordFailure, StoreVersion> renew(boolean urgent) {
-    return urgent || !batches.isActive() ? access.renew() : access.renewBatched(batches);
+  private Either<RecordFailure, StoreVersion> renew(boolean atOnce) {
+    return atOnce || !batches.isActive() ? access.renew() : access.renewBatched(batches);
   }
 
   private void listProxies() {
--- a/serving/src/test/java/org/mimosacleat/serving/feed/FeedFollowerTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/feed/FeedFollowerTest.java
@@ -6,13 +6,14 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.mimosacleat.core.id.VmId;
 import org.mimosacleat.core.time.PausedClock;
 import org.mimosacleat.serving.version.StoreEra;
@@ -197,10 +198,27 @@
     assertEquals(List.of(newer), new FeedPage("op", ERA, 3, 9, List.of(known, newer)).rowsAfter(5));
   }
 
+  /** Guards against a proxy that follows no other for good after one unexpected exception. */
+  @Test
+  @Timeout(20)
+  void followsAnotherProxyAfterAnUnexpectedException() throws InterruptedException {
+    sources.failsOnce = true;
+    Thread task = Thread.ofVirtual().start(follower);
+
+    while (!sources.listeners.containsKey(FIRST) && task.isAlive()) {
+      Thread.sleep(20);
+    }
+    boolean alive = task.isAlive();
+    task.interrupt();
+    task.join();
+
+    assertTrue(alive);
+  }
+
   /** Proxies that can all be reached. */
   private static final class FakeSources implements FeedSources {
     private final List<VmId> candidates = new ArrayList<>(List.of(FIRST, SECOND));
-    private final Map<VmId, FeedListener> listeners = new HashMap<>();
+    private final Map<VmId, FeedListener> listeners = new ConcurrentHashMap<>();
 
     @Override
     public List<VmId> candidates() {
@@ -209,6 +227,7 @@
 
     private final Set<VmId> lost = new HashSet<>();
     private long lastNonce;
+    private volatile boolean failsOnce;
 
     @Override
     public List<VmId> distantCandidates() {
@@ -223,6 +242,10 @@
 
     @Override
     public boolean follow(VmId source, FeedListener listener, Optional<StoreVersion> known) {
+      if (failsOnce) {
+        failsOnce = false;
+        throw new IllegalStateException("scripted");
+      }
       listeners.put(source, listener);
       return true;
     }
--- a/serving/src/test/java/org/mimosacleat/serving/network/ConnectionListenerTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/network/ConnectionListenerTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.mimosacleat.core.time.Sleeper;
@@ -39,6 +40,33 @@
     }
   }
 
+  /** Guards against a port that nobody serves after one unexpected exception. */
+  @Test
+  void servesTheNextConnectionAfterAnUnexpectedException()
+      throws IOException, InterruptedException {
+    try (ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor()) {
+      InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+      AtomicBoolean failed = new AtomicBoolean();
+      ConnectionListener listener =
+          ConnectionListener.start(
+              any,
+              executor,
+              socket -> {
+                if (failed.compareAndSet(false, true)) {
+                  throw new IllegalStateException("scripted");
+                }
+                return () -> served.add(socket);
+              },
+              Sleeper.SYSTEM);
+      connect(listener.address());
+      connect(listener.address());
+
+      assertNotNull(served.poll(10, TimeUnit.SECONDS));
+
+      listener.close();
+    }
+  }
+
   private static void connect(InetSocketAddress address) throws IOException {
     new Socket(address.getAddress(), address.getPort()).close();
   }
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/FakeGroup.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/FakeGroup.java
@@ -26,6 +26,9 @@
   PeerStops peers = PeerStops.NONE;
   Runnable promotionListener = () -> {};
 
+  /** Runs before each status query. */
+  Runnable beforeStatus = () -> {};
+
   /** Demotions wait for it. */
   CountDownLatch demotionStart = new CountDownLatch(0);
 
@@ -77,6 +80,7 @@
 
   @Override
   public Either<Failure, EndpointStatus> status(EndpointEntry entry) {
+    beforeStatus.run();
     FakeEndpoint endpoint = find(entry.id());
     return endpoint.reachable
         ? Either.right(new EndpointStatus(endpoint.role, endpoint.term, endpoint.position()))
