Check the age of a claim directly before a promotion is sent

Cause: an old claim was renewed, but the age of the renewed one, which counts from before the renewal, was not looked at; and the age was measured on the monotonic clock, which a suspension doesn't move.

Now the age is the larger of those on both clocks. It is checked after each renewal, and once more on the open connection, directly before the request is written. A request is sent under a claim younger than 2 s; others take over after 3 s without a change. What a pause between check and act can still do elsewhere: a fence carries the next term, which no primary of that term obeys; records are written under the version of the claim; a stop names the claim, and leases carry both clocks already.

--- a/serving/src/main/java/org/mimosacleat/serving/promotion/FailoverDependencies.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/FailoverDependencies.java
@@ -11,6 +11,7 @@
 import org.mimosacleat.core.id.VmId;
 import org.mimosacleat.core.time.Sleeper;
 import org.mimosacleat.serving.endpoint.EndpointPools;
+import org.mimosacleat.serving.feed.ClockReading;
 import org.mimosacleat.serving.fleet.EndpointEntry;
 import org.mimosacleat.serving.fleet.FleetState;
 import org.mimosacleat.serving.routing.GroupStates;
@@ -33,6 +34,7 @@
  * @param executor runs background tasks and concurrent status queries
  * @param eras the eras of the store
  * @param clock the clock for all time-outs
+ * @param wallClock a clock that continues to run while the machine is suspended
  * @param random randomizes delays so that the proxies don't act simultaneously
  * @param sleeper pauses the calling thread
  */
@@ -51,8 +53,14 @@
     ExecutorService executor,
     StoreEras eras,
     InstantSource clock,
+    InstantSource wallClock,
     RandomGenerator random,
     Sleeper sleeper) {
+  /** Returns the present moment on both clocks. */
+  ClockReading now() {
+    return new ClockReading(clock.instant(), wallClock.instant());
+  }
+
   /** Waits for a random time, so that proxies which see the same do not act at once. */
   void sleepRandomly(Duration maxDelay) {
     sleeper.sleep(Duration.ofNanos(random.nextLong(maxDelay.toNanos())));
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryReplacement.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryReplacement.java
@@ -13,6 +13,7 @@
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.core.position.Position;
 import org.mimosacleat.core.position.Term;
+import org.mimosacleat.serving.feed.ClockReading;
 import org.mimosacleat.serving.fleet.EndpointEntry;
 import org.mimosacleat.serving.fleet.GroupSettings;
 import org.mimosacleat.serving.version.StoreVersion;
@@ -23,11 +24,15 @@
  * primary is no longer in use, promotes the most advanced replica, and records the new primary.
  *
  * <p>Each claim has its own version, which gives the fencing token of the promotion. A request is
- * only sent under a recent claim; other proxies take over only an old one.
+ * only sent under a recent claim; other proxies take over only an old one. The age is checked
+ * directly before a request is sent, since the process can stand still before.
  */
 final class PrimaryReplacement {
   /** A claim older than this is renewed before a promotion is requested under it. */
-  private static final Duration MAX_CLAIM_AGE = Duration.ofMillis(1_200);
+  private static final Duration RENEWAL_AGE = Duration.ofMillis(1_200);
+
+  /** Under an older claim nothing is requested: the request must arrive before a takeover. */
+  private static final Duration MAX_CLAIM_AGE = Duration.ofMillis(2_000);
 
   /** Time for the other proxies to see a planned replacement before the primary is fenced. */
   private static final Duration PLANNED_FENCING_DELAY = Duration.ofMillis(40);
@@ -50,7 +55,7 @@
   private final EndpointStatusPoller statusPoller;
   private final Set<EndpointId> refusedEndpoints = new HashSet<>();
   private RecordedPrimary claim;
-  private Instant claimedAt = Instant.MIN;
+  private ClockReading claimedAt;
   private boolean oldPrimaryUnused;
   private boolean waitsForSilent;
   private final PrimaryUsers users;
@@ -87,7 +92,7 @@
 
   /** Claims the replacement or renews the claim; returns false if another proxy has claimed it. */
   private boolean claim(boolean planned) {
-    Instant sentAt = dependencies.clock().instant();
+    final ClockReading sentAt = dependencies.now();
     PrimaryRecord next =
         claim.record().withReplacement(new Replacement(dependencies.self(), planned));
     Either<RecordFailure, StoreVersion> written =
@@ -107,10 +112,22 @@
     return true;
   }
 
+  /** Renews the claim if necessary; twice if the first renewal was answered too late. */
   private boolean ensureRecentClaim() {
-    Duration age = Duration.between(claimedAt, dependencies.clock().instant());
     boolean planned = claim.record().replacement().orElseThrow().planned();
-    return age.compareTo(MAX_CLAIM_AGE) < 0 || claim(planned);
+    if (isClaimYoungerThan(RENEWAL_AGE)) {
+      return true;
+    }
+    return claim(planned) && (isClaimRecent() || (claim(planned) && isClaimRecent()));
+  }
+
+  /** Returns whether nobody can have taken the claim over. */
+  private boolean isClaimRecent() {
+    return isClaimYoungerThan(MAX_CLAIM_AGE);
+  }
+
+  private boolean isClaimYoungerThan(Duration age) {
+    return claimedAt.elapsedAt(dependencies.now()).compareTo(age) < 0;
   }
 
   /**
@@ -226,7 +243,12 @@
     PromotionClient.Result result =
         dependencies
             .promotionClient()
-            .promote(group, best.entry().id(), dependencies.self(), claim.version().asToken());
+            .promote(
+                group,
+                best.entry().id(),
+                dependencies.self(),
+                claim.version().asToken(),
+                this::isClaimRecent);
     Logger.info("{}: promotion request for {}: {}", group, best.entry().id(), result);
     if (result == PromotionClient.Result.REFUSED) {
       refusedEndpoints.add(best.entry().id());
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PromotionClient.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PromotionClient.java
@@ -1,5 +1,6 @@
 package org.mimosacleat.serving.promotion;
 
+import java.util.function.BooleanSupplier;
 import org.mimosacleat.core.id.EndpointId;
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.core.id.VmId;
@@ -22,6 +23,9 @@
    * Requests a promotion.
    *
    * @param token grows with each claim, so that a late request of an earlier holder can be detected
+   * @param maySend asked directly before the request is sent; if it may not be sent any longer, the
+   *     result is {@link Result#NOT_TAKEN}
    */
-  Result promote(GroupId group, EndpointId endpoint, VmId holder, long token);
+  Result promote(
+      GroupId group, EndpointId endpoint, VmId holder, long token, BooleanSupplier maySend);
 }
--- a/serving/src/test/java/org/mimosacleat/serving/ServingFixture.java
+++ b/serving/src/test/java/org/mimosacleat/serving/ServingFixture.java
@@ -66,7 +66,7 @@
   /** Runs with the other clock, unless a test advances it. */
   public final PausedClock aheadBy = new PausedClock();
 
-  private final InstantSource wallClock =
+  public final InstantSource wallClock =
       () -> clock.instant().plus(Duration.between(START, aheadBy.instant()));
   public final FakeEndpoint primary = new FakeEndpoint("p", EndpointRole.PRIMARY, 1);
   public final FakeEndpoint replica = new FakeEndpoint("r", EndpointRole.REPLICA, 2);
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/FakeGroup.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/FakeGroup.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
+import java.util.function.BooleanSupplier;
 import org.mimosacleat.core.error.ErrorKind;
 import org.mimosacleat.core.error.Failure;
 import org.mimosacleat.core.id.EndpointId;
@@ -26,6 +27,12 @@
   PeerStops peers = PeerStops.NONE;
   Runnable promotionListener = () -> {};
 
+  /** Runs before each promotion request is sent. */
+  Runnable whileConnecting = () -> {};
+
+  /** Promotions are not taken. */
+  boolean unavailable;
+
   /** Runs before each status query. */
   Runnable beforeStatus = () -> {};
 
@@ -74,6 +81,7 @@
         executor,
         eras,
         proxy.clock,
+        proxy.wallClock,
         new Random(1),
         proxy.clock::advance);
   }
@@ -99,7 +107,15 @@
   }
 
   @Override
-  public Result promote(GroupId group, EndpointId id, VmId holder, long token) {
+  public Result promote(
+      GroupId group, EndpointId id, VmId holder, long token, BooleanSupplier maySend) {
+    if (unavailable) {
+      return Result.NOT_TAKEN;
+    }
+    whileConnecting.run();
+    if (!maySend.getAsBoolean()) {
+      return Result.NOT_TAKEN;
+    }
     FakeEndpoint endpoint = find(id);
     endpoint.role = EndpointRole.PRIMARY;
     endpoint.term = latestTerm().next();
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/FakeRecords.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/FakeRecords.java
@@ -23,6 +23,9 @@
   boolean down;
   boolean losesNextAnswer;
 
+  /** Runs before each answer to a write of a primary's record. */
+  Runnable beforeAnswer = () -> {};
+
   /** Calls that write lease records, whatever their result. */
   int renewalCalls;
 
@@ -73,7 +76,9 @@
     }
     primary = Optional.of(new RecordedPrimary(record, version(++version)));
     written.add(record);
-    return performed(expected);
+    Either<RecordFailure, StoreVersion> answer = performed(expected);
+    beforeAnswer.run();
+    return answer;
   }
 
   @Override
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryReplacementTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryReplacementTest.java
@@ -32,6 +32,11 @@
   private static final long MAX_MEDIAN_GAP_MILLIS = 1_500;
   private static final long SHORT_LEASE_MILLIS =
       ProxyLease.SHORT_DURATION.plus(ProxyLease.EXPIRY_MARGIN).toMillis();
+  private static final Duration FREEZE = Duration.ofSeconds(4);
+
+  /** The first record, the claim, and its first renewal. */
+  private static final int RECORDS_WITH_FIRST_RENEWAL = 3;
+
   private static final VmId SELF = new VmId("self");
   private static final VmId OTHER = new VmId("other");
 
@@ -342,6 +347,79 @@
     assertEquals(Optional.of(replica.id()), records.primary.orElseThrow().record().primary());
   }
 
+  /** Guards against an outdated token: the holder froze while it renewed its claim. */
+  @Test
+  void promotionIsNotRequestedUnderAClaimThatIsOldWhenItsRenewalIsAnswered() {
+    freezeDuringRenewal(() -> proxy.clock.advance(FREEZE));
+
+    assertFalse(run(true));
+
+    assertEquals(List.of(), promotions());
+  }
+
+  /** Guards against the same if the machine was suspended, which its monotonic clock hides. */
+  @Test
+  void promotionIsNotRequestedUnderAClaimFromBeforeASuspension() {
+    freezeDuringRenewal(() -> proxy.aheadBy.advance(FREEZE));
+
+    assertFalse(run(true));
+
+    assertEquals(List.of(), promotions());
+  }
+
+  /** Guards against the same if the holder froze as it opened the connection for its request. */
+  @Test
+  void promotionIsNotSentOnceItsClaimIsOld() {
+    group.whileConnecting =
+        () -> {
+          proxy.clock.advance(FREEZE);
+          takeOver();
+        };
+
+    assertFalse(run(true));
+
+    assertEquals(List.of(), promotions());
+  }
+
+  @Test
+  void promotionIsRequestedAgainUnderARenewedClaim() {
+    group.whileConnecting =
+        () -> {
+          group.whileConnecting = () -> {};
+          proxy.clock.advance(FREEZE);
+        };
+
+    assertTrue(run(true));
+
+    assertEquals(1, promotions().size());
+  }
+
+  /** The holder freezes when it renews its claim; another proxy then takes the claim over. */
+  private void freezeDuringRenewal(Runnable freeze) {
+    group.unavailable = true;
+    records.beforeAnswer =
+        () -> {
+          if (records.written.size() < RECORDS_WITH_FIRST_RENEWAL) {
+            return;
+          }
+          records.beforeAnswer = () -> {};
+          group.unavailable = false;
+          freeze.run();
+          takeOver();
+        };
+  }
+
+  private void takeOver() {
+    RecordedPrimary seen = records.primary.orElseThrow();
+    records.writePrimary(
+        seen.record().withReplacement(new Replacement(OTHER, true)), seen.version());
+  }
+
+  /** Returns the promotions; the old primary is fenced in the background. */
+  private List<String> promotions() {
+    return group.requests.stream().filter(request -> request.startsWith("promote")).toList();
+  }
+
   /** Confirms the record as after a return of the store from an older copy. */
   private void confirm(long returnSeenAt) {
     RecordedPrimary seen = records.primary.orElseThrow();
