--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryReplacement.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryReplacement.java
@@ -29,10 +29,13 @@
  */
 final class PrimaryReplacement {
   /** A claim older than this is renewed before a promotion is requested under it. */
-  private static final Duration RENEWAL_AGE = Duration.ofMillis(1_200);
+  private static final Duration RENEWAL_AGE = Duration.ofMillis(1_000);
 
-  /** Under an older claim nothing is requested: the request must arrive before a takeover. */
-  private static final Duration MAX_CLAIM_AGE = Duration.ofMillis(2_000);
+  /**
+   * Under an older claim nothing is requested: the request must arrive before a takeover, and
+   * before the record is confirmed after a return of the store from an older copy.
+   */
+  private static final Duration MAX_CLAIM_AGE = Duration.ofMillis(1_200);
 
   /** Time for the other proxies to see a planned replacement before the primary is fenced. */
   private static final Duration PLANNED_FENCING_DELAY = Duration.ofMillis(40);
