--- a/serving/src/main/java/org/mimosacleat/serving/feed/FeedFollower.java
+++ b/serving/src/main/java/org/mimosacleat/serving/feed/FeedFollower.java
@@ -56,10 +56,10 @@
   /** Chooses the proxy to follow and asks it, again and again. */
   @Override
   public void run() {
-    new RepeatedStep("the store feeds of other proxies", this::next, sleeper).run();
+    new RepeatedStep("the store feeds of other proxies", this::followAndAsk, sleeper).run();
   }
 
-  private void next() {
+  private void followAndAsk() {
     chooseSource();
     ask();
     sleeper.sleep(ASK_INTERVAL);
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryReplacementTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryReplacementTest.java
@@ -105,7 +105,7 @@
 
   /** Guards against acknowledged commits that only an endpoint has which does not answer. */
   @Test
-  void nobodyIsPromotedWhileASynchronousReplicaIsSilent() {
+  void nobodyIsPromotedWhileSynchronousReplicaIsSilent() {
     proxy.configure(2, Teams.NOT_CONFIGURED, 1);
     otherReplica.reachable = false;
     oldPrimary.reachable = false;
@@ -349,7 +349,7 @@
 
   /** Guards against an outdated token: the holder froze while it renewed its claim. */
   @Test
-  void promotionIsNotRequestedUnderAClaimThatIsOldWhenItsRenewalIsAnswered() {
+  void promotionIsNotRequestedUnderClaimThatIsOldAfterItsRenewal() {
     freezeDuringRenewal(() -> proxy.clock.advance(FREEZE));
 
     assertFalse(run(true));
@@ -359,7 +359,7 @@
 
   /** Guards against the same if the machine was suspended, which its monotonic clock hides. */
   @Test
-  void promotionIsNotRequestedUnderAClaimFromBeforeASuspension() {
+  void promotionIsNotRequestedUnderClaimFromBeforeSuspension() {
     freezeDuringRenewal(() -> proxy.aheadBy.advance(FREEZE));
 
     assertFalse(run(true));
@@ -382,7 +382,7 @@
   }
 
   @Test
-  void promotionIsRequestedAgainUnderARenewedClaim() {
+  void promotionIsRequestedAgainUnderRenewedClaim() {
     group.whileConnecting =
         () -> {
           group.whileConnecting = () -> {};
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/PromotionChoiceTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/PromotionChoiceTest.java
@@ -135,21 +135,20 @@
   @Test
   void wrongRulesAreFound() {
     Rule oneMoreSilent = (count, end) -> chooser(new PromotionChoice(count + 1, end));
+    assertTrue(losses(oneMoreSilent, 1) > 0, "one more silent endpoint");
     Rule asynchronous = (_, end) -> chooser(new PromotionChoice(0, end));
+    assertTrue(losses(asynchronous, 1) > 0, "synchronous replicas ignored");
     Rule withoutDraining =
         (_, _) ->
             (_, answered, _) ->
                 answered.stream()
                     .filter(candidate -> !candidate.entry().draining())
                     .max(Candidate.BY_LOG_POSITION_AND_UPTIME);
+    assertTrue(losses(withoutDraining, 1) > 0, "draining endpoints left out");
     Rule forgetful =
         (count, end) ->
             (listed, answered, mayWait) ->
                 CHOICE.create(count, end).choose(listed, answered, mayWait);
-
-    assertTrue(losses(oneMoreSilent, 1) > 0, "one more silent endpoint");
-    assertTrue(losses(asynchronous, 1) > 0, "synchronous replicas ignored");
-    assertTrue(losses(withoutDraining, 1) > 0, "draining endpoints left out");
     assertTrue(losses(forgetful, 1) > 0, "endpoints that left are forgotten");
   }
 
--- a/serving/src/test/java/org/mimosacleat/serving/session/EndedPrimaryUseTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/session/EndedPrimaryUseTest.java
@@ -79,7 +79,7 @@
 
   /** Guards against a commit after this proxy has confirmed that it uses the primary no longer. */
   @Test
-  void commitIsNotSentWhileAnUnreachablePrimaryIsReplaced() {
+  void commitIsNotSentWhileUnreachablePrimaryIsReplaced() {
     openTransaction();
     follow(proxy.primary, 1, ReplacementKind.UNPLANNED, 2);
 
@@ -87,7 +87,7 @@
   }
 
   @Test
-  void openTransactionGoesOnUntilALeavingPrimaryIsFenced() {
+  void openTransactionGoesOnUntilLeavingPrimaryIsFenced() {
     openTransaction();
     follow(proxy.primary, 1, ReplacementKind.PLANNED, 2);
 
@@ -154,7 +154,7 @@
 
   /** Guards against reads of a stated age that a former primary's positions let through. */
   @Test
-  void positionsOfAFormerPrimaryAreNotRecorded() {
+  void positionsOfFormerPrimaryAreNotRecorded() {
     openTransaction();
     proxy.primary.beforeAnswer = () -> proxy.canUsePrimaries = false;
     proxy.clock.advance(Duration.ofSeconds(1));
