Keep the order of frames to a proxy, and a released lease released

A rollback could overtake a large first statement on its way to a gateway: large frames are sent by a task, small ones at once. The gateway then kept the transaction open, and its drain waited for it until the deadline. Frames behind a large one are now left to the same task.

A lease was renewed again after the proxy had released it, or its removal met a renewal on its way; others then waited for it to expire. Now a released lease is not renewed, and the removal is tried once more with the version that it finds. ProxyLeaseTest, two cases: one failed before, the other without the flag.

--- a/serving/src/main/java/org/mimosacleat/serving/peer/PeerLink.java
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/PeerLink.java
@@ -185,7 +185,8 @@
   @Override
   public void send(RelayRequest request) {
     try {
-      transport.send(new PeerFrame.Request(lastCorrelationId.incrementAndGet(), request));
+      long correlationId = lastCorrelationId.incrementAndGet();
+      transport.send(new PeerFrame.Request(correlationId, request), executor);
     } catch (IOException broken) {
       close(broken.getMessage());
     }
--- a/serving/src/main/java/org/mimosacleat/serving/peer/PeerTransport.java
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/PeerTransport.java
@@ -2,7 +2,11 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.util.ArrayDeque;
+import java.util.Optional;
+import java.util.Queue;
 import java.util.concurrent.Executor;
+import java.util.concurrent.locks.ReentrantLock;
 import org.mimosacleat.core.id.VmId;
 import org.mimosacleat.serving.network.Sockets;
 import org.mimosacleat.wire.peer.PeerChannel;
@@ -24,6 +28,12 @@
 
   private final Socket socket;
   private final PeerChannel channel;
+  private final ReentrantLock orderLock = new ReentrantLock();
+
+  /** Messages that a task sends, in this order. */
+  private final Queue<PeerMessage> waiting = new ArrayDeque<>();
+
+  private boolean taskSends;
 
   PeerTransport(Socket socket) throws IOException {
     this.socket = socket;
@@ -52,15 +62,58 @@
 
   /**
    * Sends a frame without waiting for a peer that does not read: a large frame is sent by a task,
-   * which closes the connection if that fails.
+   * which closes the connection if that fails. Frames that are sent in this way arrive in order.
    */
   void send(PeerFrame frame, Executor executor) throws IOException {
     PeerMessage.FleetPayload message = message(frame);
-    if (message.payload().length <= Sockets.MAX_DIRECT_WRITE_BYTES) {
+    boolean small = message.payload().length <= Sockets.MAX_DIRECT_WRITE_BYTES;
+    if (small && !isLeftToTask(message)) {
       channel.write(message);
-      return;
+    } else if (!small && addWaiting(message)) {
+      executor.execute(this::writeWaiting);
+    }
+  }
+
+  /** Leaves a message to the task that sends the ones before it; returns whether there is one. */
+  private boolean isLeftToTask(PeerMessage message) {
+    orderLock.lock();
+    try {
+      return taskSends && waiting.add(message);
+    } finally {
+      orderLock.unlock();
+    }
+  }
+
+  /** Adds a message for a task; returns whether the task has to be started. */
+  private boolean addWaiting(PeerMessage message) {
+    orderLock.lock();
+    try {
+      waiting.add(message);
+      boolean starts = !taskSends;
+      taskSends = true;
+      return starts;
+    } finally {
+      orderLock.unlock();
+    }
+  }
+
+  private void writeWaiting() {
+    Optional<PeerMessage> next = nextWaiting();
+    while (next.isPresent()) {
+      writeOrClose(next.get());
+      next = nextWaiting();
+    }
+  }
+
+  private Optional<PeerMessage> nextWaiting() {
+    orderLock.lock();
+    try {
+      PeerMessage next = waiting.poll();
+      taskSends = next != null;
+      return Optional.ofNullable(next);
+    } finally {
+      orderLock.unlock();
     }
-    executor.execute(() -> writeOrClose(message));
   }
 
   private static PeerMessage.FleetPayload message(PeerFrame frame) throws IOException {
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/ProxyLease.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/ProxyLease.java
@@ -52,6 +52,7 @@
   private final AtomicReference<Optional<StoreVersion>> recordVersion =
       new AtomicReference<>(Optional.empty());
   private final AtomicReference<StoreTime> storeTime = new AtomicReference<>();
+  private volatile boolean released;
   private final AtomicReference<List<FleetMember>> lastHolders = new AtomicReference<>(List.of());
 
   /**
@@ -122,6 +123,9 @@
    * @param groups the groups whose primaries this proxy may use
    */
   public Either<RecordFailure, StoreVersion> renew(Set<GroupId> groups) {
+    if (released) {
+      return Either.left(RecordFailure.NOT_DONE);
+    }
     StoreTime time = storeTime.get();
     Optional<StoreVersion> expected = recordVersion.get();
     if (time == null || isOutdated(time) || expected.isEmpty()) {
@@ -180,11 +184,12 @@
         : Optional.of(new Confirmation(era, Math.max(0, time.latestAt(eras.currentSince()))));
   }
 
-  /** Releases the lease and removes its record from the store. */
+  /** Releases the lease for good and removes its record from the store. */
   public void release() {
+    released = true;
     renewal.set(new Renewal(Instant.MIN, Duration.ZERO, period(), shortPeriod()));
-    records
-        .removeProxy(self.vm(), recordVersion.get().orElse(StoreVersion.NONE))
+    removeRecord()
+        .orElse(() -> refreshStoreTime().flatMap(_ -> removeRecord()))
         .peekLeft(
             failure ->
                 Logger.warn(
@@ -193,6 +198,11 @@
                     failure));
   }
 
+  /** Fails with a conflict if a renewal on its way was performed meanwhile. */
+  private Either<RecordFailure, StoreVersion> removeRecord() {
+    return records.removeProxy(self.vm(), recordVersion.get().orElse(StoreVersion.NONE));
+  }
+
   /** Returns whether a proxy's lease has certainly expired, unless the store has lost renewals. */
   static boolean hasExpired(ProxyRecord proxy, long storeMillis) {
     return storeMillis - proxy.renewedAtMillis() > DURATION.plus(EXPIRY_MARGIN).toMillis();
@@ -217,6 +227,9 @@
   }
 
   private void extend(Instant sentAt, Duration drift) {
+    if (released) {
+      return;
+    }
     Renewal last = renewal.get();
     long period = isValid(last, DURATION) ? last.period() : last.period() + 1;
     long shortPeriod = isValid(last, SHORT_DURATION) ? last.shortPeriod() : last.shortPeriod() + 1;
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/FakeRecords.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/FakeRecords.java
@@ -152,6 +152,9 @@
 
   @Override
   public Either<RecordFailure, StoreVersion> removeProxy(VmId proxy, StoreVersion expected) {
+    if (versions.getOrDefault(proxy, 0L) != expected.number()) {
+      return Either.left(RecordFailure.CONFLICT);
+    }
     proxies.remove(proxy);
     versions.remove(proxy);
     return answer(version(++version));
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/ProxyLeaseTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/ProxyLeaseTest.java
@@ -29,6 +29,33 @@
     assertFalse(lease.isHeld());
   }
 
+  /** Guards against a lease that comes back while its proxy stops, and is then waited for. */
+  @Test
+  void isNotRenewedAfterItsRelease() {
+    lease.renew(GROUPS);
+    lease.release();
+
+    // The first renewal finds out that the record is gone, the second would write it again.
+    assertTrue(lease.renew(GROUPS).isLeft());
+    assertTrue(lease.renew(GROUPS).isLeft());
+
+    assertFalse(lease.isHeld());
+    assertFalse(records.proxies.containsKey(SELF));
+  }
+
+  /** Guards against a record that stays because a renewal on its way was performed first. */
+  @Test
+  void recordIsRemovedAlsoAfterRenewalWithoutAnAnswer() {
+    lease.renew(GROUPS);
+    records.losesNextAnswer = true;
+    lease.renew(GROUPS);
+    records.performLateWrite();
+
+    lease.release();
+
+    assertFalse(records.proxies.containsKey(SELF));
+  }
+
   @Test
   void staysValidDuringAnOutageOfTheStoreUntilItExpires() {
     lease.renew(GROUPS);
