--- a/serving/src/main/java/org/mimosacleat/serving/network/ConnectionListener.java
+++ b/serving/src/main/java/org/mimosacleat/serving/network/ConnectionListener.java
@@ -94,17 +94,23 @@
   private void acceptUntilClosed() {
     while (!listener.isClosed()) {
       try {
-        Socket socket = listener.accept();
-        executor.execute(handler.apply(socket));
+        serve(listener.accept());
       } catch (IOException failed) {
         if (!listener.isClosed()) {
           Logger.warn("connection could not be accepted: {}", failed.getMessage());
           sleeper.sleep(PAUSE_AFTER_FAILURE);
         }
-      } catch (RuntimeException | Error unexpected) {
-        Logger.error(unexpected, "connection not served; accepting the next one");
-        sleeper.sleep(PAUSE_AFTER_FAILURE);
       }
     }
   }
+
+  private void serve(Socket socket) throws IOException {
+    try {
+      executor.execute(handler.apply(socket));
+    } catch (RuntimeException | Error unexpected) {
+      Logger.error(unexpected, "connection not served; accepting the next one");
+      socket.close();
+      sleeper.sleep(PAUSE_AFTER_FAILURE);
+    }
+  }
 }
