PostgreSQL form: a login that a stop meets gets an error, and accepted connections count at once

A client that logged in while its proxy was stopped got no answer: the session was neither opened nor refused, and its connection stayed until the drain's limit. And a connection counted only once its own task ran, so that a drain could end before it was seen.

A login that the stop meets is refused as the proxy is shutting down.

--- a/proxy/src/main/java/org/mimosacleat/proxy/client/ClientConnection.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/client/ClientConnection.java
@@ -56,8 +56,8 @@
 
   /**
    * Requests the end of the connection. A connection that is waiting for its client is sent a
-   * shutdown error and closed immediately; one with a running batch or an open transaction ends
-   * after it.
+   * shutdown error and closed immediately; one that logs in gets that error in place of the
+   * session; one with a running batch or an open transaction ends after it.
    */
   void stop() {
     Activity before =
@@ -110,6 +110,10 @@
       refuse(session.getLeft());
       return;
     }
+    if (activity.get() == Activity.ENDED) {
+      sendShutdownError();
+      return;
+    }
     socket.setSoTimeout(0);
     serve(session.get());
   }
@@ -175,7 +179,10 @@
 
   private void serveBatches(BatchHandler handler, ClientSession session) throws IOException {
     BatchReader batches = new BatchReader(reader, context.limits().maxFrameBytes());
-    activity.compareAndSet(Activity.STARTING, Activity.WAITING);
+    if (!activity.compareAndSet(Activity.STARTING, Activity.WAITING)) {
+      sendShutdownError();
+      return;
+    }
     while (true) {
       Optional<Frame> first = batches.readFirst();
       boolean canServe =
--- a/proxy/src/main/java/org/mimosacleat/proxy/client/ClientListener.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/client/ClientListener.java
@@ -1,19 +1,22 @@
 package org.mimosacleat.proxy.client;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.security.SecureRandom;
 import java.time.InstantSource;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import org.mimosacleat.core.id.GroupId;
+import org.mimosacleat.core.time.Sleeper;
 import org.mimosacleat.proxy.dispatch.Dispatcher;
 import org.mimosacleat.proxy.operations.BatchMetrics;
 import org.mimosacleat.proxy.settings.AuthenticationMode;
 import org.mimosacleat.proxy.settings.LimitSettings;
+import org.mimosacleat.serving.network.ConnectionListener;
 import org.tinylog.Logger;
 
 /**
@@ -22,14 +25,12 @@
  * #drainConnections} and {@link #close}, in this order, to shut down.
  */
 public final class ClientListener implements AutoCloseable {
-  private static final int BACKLOG = 1_024;
-
-  private final ServerSocket server;
+  private final ConnectionListener listener;
   private final ClientContext context;
-  private final ExecutorService executor;
+  private final CountDownLatch started = new CountDownLatch(1);
   private final Set<ClientConnection> connections = ConcurrentHashMap.newKeySet();
 
-  /** Binds the address without accepting connections; see {@link #start}. */
+  /** Binds the address; connections are served from {@link #start} on. */
   public ClientListener(
       InetSocketAddress address,
       Dispatcher dispatcher,
@@ -42,9 +43,6 @@
       ExecutorService executor,
       SecureRandom random)
       throws IOException {
-    this.server = new ServerSocket();
-    this.server.setReuseAddress(true);
-    this.server.bind(address, BACKLOG);
     this.context =
         new ClientContext(
             dispatcher,
@@ -54,26 +52,25 @@
             metrics,
             clock,
             groups);
-    this.executor = executor;
+    this.listener = ConnectionListener.start(address, executor, this::accept, Sleeper.SYSTEM);
   }
 
   /** Returns the bound address. */
   public InetSocketAddress address() {
-    return (InetSocketAddress) server.getLocalSocketAddress();
+    return listener.address();
   }
 
-  /** Starts accepting connections. */
+  /** Starts serving connections. */
   public void start() {
-    executor.submit(this::acceptAll);
+    started.countDown();
   }
 
-  /** Stops accepting connections; open connections continue. */
+  /**
+   * Stops accepting connections; open connections continue. Each connection that was accepted
+   * counts when this returns, whether or not it is served yet.
+   */
   public void stopAccepting() {
-    try {
-      server.close();
-    } catch (IOException alreadyClosed) {
-      Logger.debug("closing the client listener failed: {}", alreadyClosed.getMessage());
-    }
+    listener.close();
   }
 
   /** Closes connections that are idle, and each other connection once it becomes idle. */
@@ -100,25 +97,26 @@
     };
   }
 
-  private void acceptAll() {
-    while (!server.isClosed()) {
-      try {
-        Socket socket = server.accept();
-        executor.submit(() -> serve(socket));
-      } catch (IOException failed) {
-        Logger.debug("accepting a client connection failed: {}", failed.getMessage());
-      }
+  private Runnable accept(Socket socket) {
+    ClientConnection connection = open(socket);
+    connections.add(connection);
+    return () -> serve(connection, socket);
+  }
+
+  private ClientConnection open(Socket socket) {
+    try {
+      return new ClientConnection(socket, context);
+    } catch (IOException ended) {
+      throw new UncheckedIOException(ended);
     }
   }
 
-  private void serve(Socket socket) {
-    try (ClientConnection connection = new ClientConnection(socket, context)) {
-      connections.add(connection);
-      try {
-        connection.run();
-      } finally {
-        connections.remove(connection);
-      }
+  private void serve(ClientConnection connection, Socket socket) {
+    try (connection) {
+      started.await();
+      connection.run();
+    } catch (InterruptedException stopped) {
+      Thread.currentThread().interrupt();
     } catch (IOException ended) {
       Logger.debug(
           "connection of client at {} ended: {}",
@@ -129,6 +127,8 @@
           defect,
           "connection of client at {} closed after an unexpected error",
           socket.getRemoteSocketAddress());
+    } finally {
+      connections.remove(connection);
     }
   }
 }
