--- a/serving/src/main/java/org/mimosacleat/serving/peer/PeerTransport.java
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/PeerTransport.java
@@ -97,11 +97,17 @@
     }
   }
 
+  /** Closes the connection if it ends unexpectedly, since later messages would wait for ever. */
   private void writeWaiting() {
-    Optional<PeerMessage> next = nextWaiting();
-    while (next.isPresent()) {
-      writeOrClose(next.get());
-      next = nextWaiting();
+    try {
+      Optional<PeerMessage> next = nextWaiting();
+      while (next.isPresent()) {
+        writeOrClose(next.get());
+        next = nextWaiting();
+      }
+    } catch (RuntimeException | Error unexpected) {
+      close();
+      throw unexpected;
     }
   }
 
--- a/serving/src/test/java/org/mimosacleat/serving/peer/PeerTransportTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/peer/PeerTransportTest.java
@@ -2,8 +2,12 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -47,6 +51,37 @@
     }
   }
 
+  /** Guards against a connection that looks alive and on which nothing is sent any longer. */
+  @Test
+  void connectionIsClosedIfItsSendingTaskEndsUnexpectedly() throws IOException {
+    BrokenSocket socket = new BrokenSocket();
+    try (PeerTransport sender = new PeerTransport(socket)) {
+      sender.send(new PeerFrame.Request(1, firstStatement()), tasks::add);
+
+      assertThrows(OutOfMemoryError.class, tasks.remove()::run);
+
+      assertTrue(socket.isClosed());
+    }
+  }
+
+  /** A socket on which nothing can be sent because memory is exhausted. */
+  private static final class BrokenSocket extends Socket {
+    @Override
+    public InputStream getInputStream() {
+      return InputStream.nullInputStream();
+    }
+
+    @Override
+    public OutputStream getOutputStream() {
+      return new OutputStream() {
+        @Override
+        public void write(int value) {
+          throw new OutOfMemoryError("scripted");
+        }
+      };
+    }
+  }
+
   private static RelayRequest request(PeerTransport receiver) throws IOException {
     return ((PeerFrame.Request) receiver.receive()).request();
   }
