Promote only with proof: what may hold acknowledged commits stands in the record

Cause: which endpoints may hold the only copy of a commit was known to the holder of a claim alone. It gave up after 25 s, a later holder began after 3 s with its own list, and an endpoint that had started again under its id counted as heard.

Now the record of a primary names the copies of the log (endpoint, address, start, draining) and a position that each further primary must include. Gateways add a copy when it is listed, and leave it out once others have what the primary had after its end. A choice needs all but k - 1 of the copies, or the end of the primary's own log; nothing else ends the wait: the primary that is back, a successor at the address of a drained endpoint, a replica that is back, or an operator who sets sync_replicas to 0, which is logged with what may be lost. A log that is shorter than another counts once its entry has stayed for 4.5 s, since a restart may be hidden by an old entry for three heartbeats. Statements are refused meanwhile as before. Weighed: a shorter proof by a connection that was open before (more code; open); no limit for copies of crashed replicas (a group with one replica lost for good would wait at the next crash, hence the position).

Without synchronous replicas nothing is recorded, asked or awaited beyond what was before.

The two tests of PromotionChoiceTest in which one log is shorter now observe it twice; the rest is as it was.

--- a/serving/src/main/java/org/mimosacleat/serving/peer/RelayCodec.java
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/RelayCodec.java
@@ -134,6 +134,7 @@
         .packLong(record.confirmation().returnSeenAt())
         .packLong(claim.version().era().number())
         .packLong(claim.version().number());
+    LogCopiesCodec.pack(packer, record.copies());
   }
 
   static RecordedPrimary unpackClaim(MessageUnpacker unpacker) throws IOException {
@@ -146,8 +147,9 @@
             Optional.of(
                 new Replacement(new VmId(unpacker.unpackString()), unpacker.unpackBoolean())),
             new Confirmation(new StoreEra(unpacker.unpackLong()), unpacker.unpackLong()));
-    return new RecordedPrimary(
-        record, new StoreVersion(new StoreEra(unpacker.unpackLong()), unpacker.unpackLong()));
+    StoreVersion version =
+        new StoreVersion(new StoreEra(unpacker.unpackLong()), unpacker.unpackLong());
+    return new RecordedPrimary(record.withCopies(LogCopiesCodec.unpack(unpacker)), version);
   }
 
   private static Failure unpackFailure(MessageUnpacker unpacker) throws IOException {
@@ -243,11 +245,11 @@
     return new ForwardedStatement(id, text, writes, shape, unpacker.unpackString());
   }
 
-  private static void packPosition(MessagePacker packer, Position position) throws IOException {
+  static void packPosition(MessagePacker packer, Position position) throws IOException {
     packer.packLong(position.term().number()).packLong(position.log().bytes());
   }
 
-  private static Position unpackPosition(MessageUnpacker unpacker) throws IOException {
+  static Position unpackPosition(MessageUnpacker unpacker) throws IOException {
     return new Position(new Term(unpacker.unpackLong()), new LogPosition(unpacker.unpackLong()));
   }
 
--- a/serving/src/main/java/org/mimosacleat/serving/peer/RenewalCodec.java
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/RenewalCodec.java
@@ -52,17 +52,24 @@
   }
 
   private static void packMember(MessagePacker packer, FleetMember member) throws IOException {
-    byte[] address = member.address().getAddress().getAddress();
     packer.packString(member.zone().value());
-    packer.packBinaryHeader(address.length).writePayload(address);
-    packer.packInt(member.address().getPort());
+    packAddress(packer, member.address());
   }
 
   private static FleetMember unpackMember(MessageUnpacker unpacker, VmId vm) throws IOException {
     AvailabilityZone zone = new AvailabilityZone(unpacker.unpackString());
-    byte[] address = unpacker.readPayload(unpacker.unpackBinaryHeader());
-    return new FleetMember(
-        vm, zone, new InetSocketAddress(InetAddress.getByAddress(address), unpacker.unpackInt()));
+    return new FleetMember(vm, zone, unpackAddress(unpacker));
+  }
+
+  static void packAddress(MessagePacker packer, InetSocketAddress address) throws IOException {
+    byte[] bytes = address.getAddress().getAddress();
+    packer.packBinaryHeader(bytes.length).writePayload(bytes);
+    packer.packInt(address.getPort());
+  }
+
+  static InetSocketAddress unpackAddress(MessageUnpacker unpacker) throws IOException {
+    byte[] bytes = unpacker.readPayload(unpacker.unpackBinaryHeader());
+    return new InetSocketAddress(InetAddress.getByAddress(bytes), unpacker.unpackInt());
   }
 
   private static Set<GroupId> unpackGroups(MessageUnpacker unpacker) throws IOException {
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/FailoverDependencies.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/FailoverDependencies.java
@@ -14,6 +14,7 @@
 import org.mimosacleat.serving.feed.ClockReading;
 import org.mimosacleat.serving.fleet.EndpointEntry;
 import org.mimosacleat.serving.fleet.FleetState;
+import org.mimosacleat.serving.fleet.GroupSettings;
 import org.mimosacleat.serving.routing.GroupStates;
 import org.mimosacleat.serving.version.StoreEras;
 
@@ -74,6 +75,18 @@
         .isEmpty();
   }
 
+  /**
+   * Returns how many endpoints other than the primary must have a commit before it is acknowledged.
+   */
+  int synchronousReplicas(GroupId group) {
+    return fleet
+        .snapshot()
+        .configuration()
+        .map(configuration -> configuration.groups().get(group))
+        .map(GroupSettings::synchronousReplicas)
+        .orElse(0);
+  }
+
   /** Returns the entry of an endpoint that is listed. */
   Optional<EndpointEntry> findEndpoint(EndpointId id) {
     return Optional.ofNullable(fleet.snapshot().endpoints().get(id));
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/GroupFailoverController.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/GroupFailoverController.java
@@ -44,6 +44,7 @@
   private final RecordRecovery recovery;
   private final PrimaryTrouble trouble;
   private final PrimaryStop stop;
+  private final LogCopyKeeper copyKeeper;
   private final LinkedBlockingQueue<Optional<String>> pendingEvaluations =
       new LinkedBlockingQueue<>();
   private StoreVersion lastSeenVersion = StoreVersion.NONE;
@@ -60,6 +61,7 @@
     this.recovery = new RecordRecovery(group, dependencies);
     this.trouble = new PrimaryTrouble(group, dependencies);
     this.stop = new PrimaryStop(group, dependencies);
+    this.copyKeeper = new LogCopyKeeper(group, dependencies);
     this.lastSeenVersionAt = dependencies.clock().instant();
     this.primaryLastListedAt = dependencies.clock().instant();
   }
@@ -122,6 +124,7 @@
     }
     if (!trouble.isSeen(record, reason)) {
       primaryLastListedAt = dependencies.clock().instant();
+      copyKeeper.keep(recorded);
       return;
     }
     if (!trouble.isForThisProxy()) {
--- /dev/null
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/LogCopy.java
@@ -0,0 +1,45 @@
+package org.mimosacleat.serving.promotion;
+
+import java.net.InetSocketAddress;
+import org.mimosacleat.core.check.Checks;
+import org.mimosacleat.core.id.EndpointId;
+import org.mimosacleat.serving.fleet.EndpointEntry;
+
+/**
+ * The log of one endpoint between two of its starts. An endpoint that starts again may have lost
+ * its log, so it then has another copy.
+ *
+ * @param endpoint the endpoint
+ * @param address the address that it listens on
+ * @param startedAtMillis its start in milliseconds, by its own wall clock; zero if unknown
+ * @param draining whether it was last known to be about to shut down, after which the next endpoint
+ *     at its address has its log
+ */
+public record LogCopy(
+    EndpointId endpoint, InetSocketAddress address, long startedAtMillis, boolean draining) {
+  /** Checks the components. */
+  public LogCopy {
+    Checks.notNull("endpoint id", endpoint);
+    Checks.notNull("address of " + endpoint, address);
+    Checks.notNegative("start time of " + endpoint, startedAtMillis);
+  }
+
+  /** Returns the copy of an endpoint as it describes itself now. */
+  static LogCopy of(EndpointEntry entry) {
+    return new LogCopy(entry.id(), entry.address(), entry.startedAtMillis(), entry.draining());
+  }
+
+  /** Returns whether both are the log of the same endpoint since the same start. */
+  boolean isSameAs(LogCopy other) {
+    return endpoint.equals(other.endpoint)
+        && address.equals(other.address)
+        && startedAtMillis == other.startedAtMillis;
+  }
+
+  /**
+   * Returns whether an endpoint with another id at the address of this one has taken its log over.
+   */
+  boolean isPassedOnTo(LogCopy other) {
+    return draining && address.equals(other.address) && !endpoint.equals(other.endpoint);
+  }
+}
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryRecord.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryRecord.java
@@ -5,6 +5,7 @@
 import org.mimosacleat.core.check.Checks;
 import org.mimosacleat.core.id.EndpointId;
 import org.mimosacleat.core.id.GroupId;
+import org.mimosacleat.core.position.Position;
 import org.mimosacleat.core.position.Term;
 import org.mimosacleat.serving.version.StoreEra;
 
@@ -17,6 +18,7 @@
  * @param round number of replacements started so far
  * @param replacement the replacement in progress, if any
  * @param confirmation the era in which this was last confirmed as the latest record
+ * @param copies where the acknowledged commits of the group may be
  */
 public record PrimaryRecord(
     GroupId group,
@@ -24,7 +26,8 @@
     Term term,
     long round,
     Optional<Replacement> replacement,
-    Confirmation confirmation) {
+    Confirmation confirmation,
+    LogCopies copies) {
   /** Records of one group in the order in which proxies agree on them. */
   private static final Comparator<PrimaryRecord> ORDER =
       Comparator.comparing(PrimaryRecord::term).thenComparingLong(PrimaryRecord::round);
@@ -36,6 +39,18 @@
     Checks.notNull("term", term);
     Checks.notNull("replacement", replacement);
     Checks.notNull("confirmation", confirmation);
+    Checks.notNull("copies of the log", copies);
+  }
+
+  /** Creates a record of a group whose copies of the log are not known. */
+  public PrimaryRecord(
+      GroupId group,
+      Optional<EndpointId> primary,
+      Term term,
+      long round,
+      Optional<Replacement> replacement,
+      Confirmation confirmation) {
+    this(group, primary, term, round, replacement, confirmation, LogCopies.NONE);
   }
 
   /**
@@ -53,7 +68,12 @@
 
   /** Returns this record as the latest one of an era. */
   PrimaryRecord withConfirmation(Confirmation next) {
-    return new PrimaryRecord(group, primary, term, round, replacement, next);
+    return new PrimaryRecord(group, primary, term, round, replacement, next, copies);
+  }
+
+  /** Returns this record with other knowledge of where acknowledged commits may be. */
+  public PrimaryRecord withCopies(LogCopies next) {
+    return new PrimaryRecord(group, primary, term, round, replacement, confirmation, next);
   }
 
   /**
@@ -61,12 +81,27 @@
    */
   PrimaryRecord withReplacement(Replacement next) {
     long nextRound = replacement.isPresent() ? round : round + 1;
-    return new PrimaryRecord(group, primary, term, nextRound, Optional.of(next), confirmation);
+    return new PrimaryRecord(
+        group, primary, term, nextRound, Optional.of(next), confirmation, copies);
   }
 
-  /** Returns this record with a new primary and no replacement in progress. */
-  PrimaryRecord withPrimary(EndpointId newPrimary, Term newTerm) {
+  /**
+   * Returns this record with a new primary and no replacement in progress. The commits of earlier
+   * terms may then be in the log of the new primary only.
+   *
+   * @param end the end of the log of the new primary
+   */
+  PrimaryRecord withPrimary(EndpointId newPrimary, Term newTerm, Position end) {
+    Term reachedIn = end.term().isAfter(term) ? term : end.term();
+    LogCopies next =
+        copies.areKept() ? copies.requiring(new Position(reachedIn, end.log())) : copies;
     return new PrimaryRecord(
-        group, Optional.of(newPrimary), newTerm, round, Optional.empty(), confirmation);
+        group,
+        Optional.of(newPrimary),
+        newTerm,
+        round,
+        Optional.empty(),
+        confirmation,
+        next.asComplete(false));
   }
 }
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryReplacement.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryReplacement.java
@@ -15,7 +15,6 @@
 import org.mimosacleat.core.position.Term;
 import org.mimosacleat.serving.feed.ClockReading;
 import org.mimosacleat.serving.fleet.EndpointEntry;
-import org.mimosacleat.serving.fleet.GroupSettings;
 import org.mimosacleat.serving.version.StoreVersion;
 import org.tinylog.Logger;
 
@@ -43,13 +42,21 @@
   private static final Duration RETRY_INTERVAL = Duration.ofMillis(50);
   private static final Duration STATUS_POLL_INTERVAL = Duration.ofMillis(30);
 
+  /** While endpoints that may be back at any time are waited for. */
+  private static final Duration LONG_STATUS_POLL_INTERVAL = Duration.ofMillis(200);
+
   /** How long a replica may take to catch up with the fenced primary; the rest is then lost. */
   private static final Duration CATCH_UP_TIMEOUT = Duration.ofMillis(700);
 
   /** How long a promoted endpoint may take to become primary before the request is repeated. */
   private static final Duration PROMOTION_TIMEOUT = Duration.ofMillis(1_500);
 
+  /** How long one run lasts; the replacement then goes on with the next claim. */
   private static final Duration REPLACEMENT_TIMEOUT = Duration.ofSeconds(25);
+
+  /** Between tries to fence an old primary that may come back with the missing commits. */
+  private static final Duration FENCING_INTERVAL = Duration.ofMillis(500);
+
   private static final Duration BACKGROUND_FENCING_TIMEOUT = Duration.ofSeconds(30);
   private static final Duration BACKGROUND_FENCING_INTERVAL = Duration.ofMillis(150);
 
@@ -61,6 +68,7 @@
   private ClockReading claimedAt;
   private boolean oldPrimaryUnused;
   private boolean waitsForSilent;
+  private Instant nextFencing = Instant.MIN;
   private final PrimaryUsers users;
 
   PrimaryReplacement(FailoverDependencies dependencies, RecordedPrimary recorded) {
@@ -90,14 +98,35 @@
       Logger.warn("{}: replacement cancelled: the old primary may still be in use", group);
       return false;
     }
-    return promote(fencedAt, deadline);
+    return completeCopies() && promote(fencedAt, deadline);
+  }
+
+  /**
+   * Records that no other log than those known by now can get an acknowledged commit, so that a
+   * later holder neither misses one nor waits for one that has none.
+   */
+  private boolean completeCopies() {
+    if (dependencies.synchronousReplicas(group) == 0 || claim.record().copies().complete()) {
+      return true;
+    }
+    LogCopies copies = claim.record().copies().with(listedCopies()).asComplete(true);
+    return write(claim.record().withCopies(copies));
+  }
+
+  private List<LogCopy> listedCopies() {
+    return dependencies.fleet().snapshot().endpointsOf(group).stream().map(LogCopy::of).toList();
   }
 
   /** Claims the replacement or renews the claim; returns false if another proxy has claimed it. */
   private boolean claim(boolean planned) {
-    final ClockReading sentAt = dependencies.now();
     PrimaryRecord next =
         claim.record().withReplacement(new Replacement(dependencies.self(), planned));
+    boolean synchronous = dependencies.synchronousReplicas(group) > 0;
+    return write(synchronous ? next.withCopies(next.copies().with(listedCopies())) : next);
+  }
+
+  private boolean write(PrimaryRecord next) {
+    final ClockReading sentAt = dependencies.now();
     Either<RecordFailure, StoreVersion> written =
         dependencies.sharedRecords().writePrimary(next, claim.version());
     if (written.isLeft()) {
@@ -170,17 +199,15 @@
   }
 
   private boolean promote(Optional<Position> fencedAt, Instant deadline) {
-    PromotionChoice choice = new PromotionChoice(synchronousReplicas(), fencedAt);
+    PrimaryRecord record = claim.record();
+    PromotionChoice choice =
+        new PromotionChoice(
+            () -> dependencies.synchronousReplicas(group), record.primary(), record.copies());
+    fencedAt.ifPresent(choice::primaryEndsAt);
     Instant catchUpEnd = dependencies.clock().instant().plus(CATCH_UP_TIMEOUT);
     while (dependencies.clock().instant().isBefore(deadline)) {
       boolean mayWait = dependencies.clock().instant().isBefore(catchUpEnd);
-      List<EndpointEntry> others = otherEndpoints();
-      List<Candidate> candidates = statusPoller.poll(others);
-      choice.observe(others, candidates);
-      boolean needsOldPrimary = fencedAt.isPresent() && choice.mayLackCommits() && !mayWait;
-      if (others.isEmpty() || needsOldPrimary) {
-        candidates = withOldPrimary(candidates);
-      }
+      List<Candidate> candidates = poll(choice, mayWait);
       Optional<Candidate> newPrimary =
           Candidate.primaryOfLaterTerm(candidates, claim.record().term());
       if (newPrimary.isPresent()) {
@@ -191,33 +218,84 @@
         if (!canWait(choice)) {
           return false;
         }
-        dependencies.sleeper().sleep(STATUS_POLL_INTERVAL);
+        dependencies.sleeper().sleep(mayWait ? STATUS_POLL_INTERVAL : LONG_STATUS_POLL_INTERVAL);
         continue;
       }
       if (!ensureRecentClaim()) {
         return false;
       }
+      choice.logGivenUp(group, best.get());
       requestPromotion(best.get());
     }
     return false;
   }
 
   /**
-   * Waits for endpoints that may have the only copy of acknowledged commits. The claim is kept only
-   * while none of them is listed: a proxy that reaches one which is listed may take over.
+   * Returns the endpoints that answer: the old primary only if it may have to lead again, since it
+   * has every commit that it has acknowledged.
+   */
+  private List<Candidate> poll(PromotionChoice choice, boolean mayWait) {
+    List<EndpointEntry> listed = dependencies.fleet().snapshot().endpointsOf(group);
+    List<EndpointEntry> others =
+        listed.stream()
+            .filter(entry -> !claim.record().primary().equals(Optional.of(entry.id())))
+            .toList();
+    List<Candidate> candidates = statusPoller.poll(others);
+    choice.observe(listed, candidates, dependencies.clock().instant());
+    boolean misses =
+        dependencies.synchronousReplicas(group) > 0
+            && !mayWait
+            && choice.choose(selectable(candidates), false).isEmpty();
+    return others.isEmpty() || (misses && isOldPrimaryDue(choice))
+        ? withOldPrimary(candidates)
+        : candidates;
+  }
+
+  /**
+   * Fences an old primary that is back, and returns whether it is to be asked: it may have to lead
+   * again, or lead already by the request of an earlier holder.
+   */
+  private boolean isOldPrimaryDue(PromotionChoice choice) {
+    Instant now = dependencies.clock().instant();
+    if (choice.isPrimaryFenced()) {
+      return true;
+    }
+    if (now.isBefore(nextFencing)) {
+      return false;
+    }
+    nextFencing = now.plus(FENCING_INTERVAL);
+    fence().ifPresent(choice::primaryEndsAt);
+    return true;
+  }
+
+  /**
+   * Waits for the copies of the log that may have the only copy of acknowledged commits, without an
+   * end: no time makes up for a commit. The claim is kept only while all of them have left the
+   * list: a proxy that reaches one which is listed may take over.
    */
   private boolean canWait(PromotionChoice choice) {
     if (!choice.mayLackCommits()) {
-      return true;
+      return recordCopies();
     }
     if (!waitsForSilent) {
       waitsForSilent = true;
       Logger.warn(
-          "{}: no promotion yet: acknowledged commits may be only on {}, which do not answer",
+          "{}: no promotion yet: acknowledged commits may be only in the log of the primary and of"
+              + " {}, which do not answer; position needed otherwise: {}",
           group,
-          choice.silent());
+          choice.silent(),
+          choice.needed());
     }
-    return !choice.missesOnlyUnlisted() || ensureRecentClaim();
+    boolean mayBeReached = oldPrimary().isPresent() || !choice.missesOnlyUnlisted();
+    return recordCopies() && (mayBeReached || ensureRecentClaim());
+  }
+
+  /** Records copies that have begun to drain: a later holder has to know their successors. */
+  private boolean recordCopies() {
+    LogCopies known = claim.record().copies();
+    return dependencies.synchronousReplicas(group) == 0
+        || known.with(listedCopies()).equals(known)
+        || claim(claim.record().replacement().orElseThrow().planned());
   }
 
   private List<Candidate> selectable(List<Candidate> candidates) {
@@ -226,16 +304,6 @@
         .toList();
   }
 
-  private int synchronousReplicas() {
-    return dependencies
-        .fleet()
-        .snapshot()
-        .configuration()
-        .map(configuration -> configuration.groups().get(group))
-        .map(GroupSettings::synchronousReplicas)
-        .orElse(0);
-  }
-
   private void requestPromotion(Candidate best) {
     Logger.info(
         "{}: requesting promotion of {} at log position {}, token {}",
@@ -276,7 +344,8 @@
   private boolean recordPrimary(Candidate newPrimary) {
     Term term = newPrimary.status().term();
     final Optional<EndpointEntry> old = oldPrimary();
-    PrimaryRecord updated = claim.record().withPrimary(newPrimary.entry().id(), term);
+    PrimaryRecord updated =
+        claim.record().withPrimary(newPrimary.entry().id(), term, newPrimary.status().received());
     Either<RecordFailure, StoreVersion> written =
         dependencies.sharedRecords().writePrimary(updated, claim.version());
     written
@@ -309,13 +378,6 @@
     return claim.record().primary().map(id -> dependencies.fleet().snapshot().endpoints().get(id));
   }
 
-  /** Returns the listed endpoints other than the old primary; those that drain have a log, too. */
-  private List<EndpointEntry> otherEndpoints() {
-    return dependencies.fleet().snapshot().endpointsOf(group).stream()
-        .filter(entry -> !claim.record().primary().equals(Optional.of(entry.id())))
-        .toList();
-  }
-
   /** Adds the old primary, if it answers: it has every commit that it has acknowledged. */
   private List<Candidate> withOldPrimary(List<Candidate> others) {
     List<Candidate> all = new ArrayList<>(others);
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PromotionChoice.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PromotionChoice.java
@@ -1,24 +1,32 @@
 package org.mimosacleat.serving.promotion;
 
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
+import java.util.function.IntSupplier;
 import org.mimosacleat.core.id.EndpointId;
+import org.mimosacleat.core.id.GroupId;
+import org.mimosacleat.core.position.LogPosition;
 import org.mimosacleat.core.position.Position;
 import org.mimosacleat.serving.fleet.EndpointEntry;
+import org.tinylog.Logger;
 
 /**
  * Chooses the endpoint that replaces a primary which nobody uses any longer, from what the others
  * report.
  *
- * <p>With synchronous replicas every acknowledged commit is in the log of so many of the others.
- * The choice is certain if it includes all that any of them has reported and fewer than that number
- * have not reported at all, or if it includes the end of the primary's own log. Without synchronous
- * replicas the most advanced endpoint that answers is chosen.
+ * <p>With synchronous replicas every acknowledged commit is in so many of the group's copies of the
+ * log, or before the required position. The choice is certain if it includes that position and all
+ * that any copy was heard to have, and fewer copies than that number were not heard; or if it
+ * includes the end of the primary's own log. There is no other choice, whatever time has passed.
+ * Without synchronous replicas the most advanced endpoint that answers is chosen.
+ *
+ * <p>An endpoint that has started again reports a shorter log, perhaps before its entry shows the
+ * new start. So one that reports less than another counts as heard only once its entry has stayed
+ * for longer than an entry does that its endpoint no longer writes.
  */
 final class PromotionChoice {
   /** Orders endpoints whose logs suffice: one that drains has to be replaced again soon. */
@@ -26,47 +34,78 @@
       Comparator.comparing((Candidate candidate) -> !candidate.entry().draining())
           .thenComparing(Candidate.BY_LOG_POSITION_AND_UPTIME);
 
-  private final int synchronousReplicas;
-  private final Optional<Position> primaryEnd;
-  private final Map<EndpointId, EndpointEntry> silent = new HashMap<>();
-  private final Set<EndpointId> heard = new HashSet<>();
-  private Set<EndpointId> listed = Set.of();
+  /** Longer than an entry is listed that its endpoint no longer writes. */
+  private static final Duration ENTRY_LIFETIME = Duration.ofMillis(4_500);
+
+  private final IntSupplier synchronousReplicas;
+  private final Optional<EndpointId> primary;
+  private LogCopies copies;
+  private List<LogCopy> listed = List.of();
+  private final List<Report> reports = new ArrayList<>();
+  private Instant observedAt = Instant.MIN;
   private Position highest = Position.NONE;
+  private Optional<Position> primaryEnd = Optional.empty();
 
   /**
    * Creates a choice that has heard no endpoint.
    *
    * @param synchronousReplicas how many endpoints other than the primary have each acknowledged
-   *     commit
-   * @param primaryEnd the end of the primary's log, if the primary was fenced
+   *     commit; asked again each time, since an operator may give up commits by a lower number
+   * @param primary the endpoint that is replaced
+   * @param copies where acknowledged commits may be, as far as it is recorded
    */
-  PromotionChoice(int synchronousReplicas, Optional<Position> primaryEnd) {
+  PromotionChoice(IntSupplier synchronousReplicas, Optional<EndpointId> primary, LogCopies copies) {
     this.synchronousReplicas = synchronousReplicas;
-    this.primaryEnd = primaryEnd;
+    this.primary = primary;
+    this.copies = copies;
   }
 
-  /**
-   * Records the endpoints other than the primary that are listed now, and those that have answered.
-   * One that leaves the list without having answered is still missed: it may have the only copy.
-   * After a planned shutdown the next endpoint at its address has its log.
-   */
-  void observe(List<EndpointEntry> others, List<Candidate> answered) {
-    listed = new HashSet<>();
-    for (EndpointEntry entry : others) {
-      listed.add(entry.id());
-      silent.put(entry.id(), entry);
-    }
-    for (Candidate candidate : answered) {
-      heard.add(candidate.entry().id());
-    }
+  /** Records the end of the log of the primary, which was fenced. */
+  void primaryEndsAt(Position end) {
+    primaryEnd = Optional.of(end);
+  }
+
+  boolean isPrimaryFenced() {
+    return primaryEnd.isPresent();
+  }
+
+  /** Records the endpoints that are listed now, and those other than the primary that answered. */
+  void observe(List<EndpointEntry> present, List<Candidate> answered, Instant now) {
+    observedAt = now;
+    listed = present.stream().map(LogCopy::of).toList();
+    copies = copies.with(listed);
     highest = Position.latest(highest, latest(answered));
-    silent.keySet().removeAll(heard);
-    silent.values().removeIf(entry -> entry.draining() && isSucceeded(entry, others));
+    answered.forEach(candidate -> put(LogCopy.of(candidate.entry()), candidate.status()));
+    answered.forEach(this::observeSuccession);
   }
 
-  private boolean isSucceeded(EndpointEntry entry, List<EndpointEntry> others) {
-    return !listed.contains(entry.id())
-        && others.stream().anyMatch(other -> other.address().equals(entry.address()));
+  private void put(LogCopy copy, EndpointStatus status) {
+    Optional<Report> before = reports.stream().filter(report -> report.isOf(copy)).findFirst();
+    before.ifPresent(reports::remove);
+    Instant since = before.map(Report::since).orElse(observedAt);
+    reports.add(new Report(copy, status.received(), since));
+  }
+
+  /** After a planned shutdown the next endpoint at the address has the log. */
+  private void observeSuccession(Candidate successor) {
+    LogCopy next = LogCopy.of(successor.entry());
+    Position received = successor.status().received();
+    for (LogCopy copy : copies.copies()) {
+      if (isListed(copy) || !copy.isPassedOnTo(next) || received.log().equals(LogPosition.START)) {
+        continue;
+      }
+      put(copy, successor.status());
+      if (isOfPrimary(copy) && primaryEnd.isEmpty()) {
+        primaryEnd = Optional.of(received);
+      }
+    }
+  }
+
+  /** Returns whether a report is about the copy itself, and not about a later one. */
+  private boolean isReliable(Report report) {
+    boolean isComplete = report.received().includes(highest);
+    boolean stayed = !observedAt.isBefore(report.since().plus(ENTRY_LIFETIME));
+    return isComplete || (stayed && isListed(report.copy()));
   }
 
   /**
@@ -77,29 +116,86 @@
    * @return the endpoint; empty if it is too early, or if acknowledged commits may be missing
    */
   Optional<Candidate> choose(List<Candidate> selectable, boolean mayWait) {
-    Optional<Candidate> complete = primaryEnd.flatMap(end -> bestIncluding(selectable, end));
-    if (complete.isPresent() || (primaryEnd.isPresent() && mayWait)) {
-      return complete;
+    boolean synchronous = synchronousReplicas.getAsInt() > 0;
+    if (!synchronous || isPrimaryEndCertain()) {
+      Optional<Candidate> complete = primaryEnd.flatMap(end -> bestIncluding(selectable, end));
+      if (complete.isPresent() || (primaryEnd.isPresent() && mayWait)) {
+        return complete;
+      }
     }
-    if (synchronousReplicas == 0) {
+    if (!synchronous) {
       return bestIncluding(selectable, latest(selectable));
     }
-    return mayLackCommits() ? Optional.empty() : bestIncluding(selectable, highest);
+    return mayLackCommits()
+        ? Optional.empty()
+        : selectable.stream().filter(this::includesAll).max(BY_STATE_LOG_POSITION_AND_UPTIME);
+  }
+
+  /**
+   * Returns whether the primary that was fenced has its log: one that has started again may have
+   * none, and then lacks what others have received from it.
+   */
+  private boolean isPrimaryEndCertain() {
+    return primaryEnd
+        .filter(end -> LogCopies.includes(end, copies.required()))
+        .filter(end -> end.includes(highest) && !end.log().equals(LogPosition.START))
+        .isPresent();
   }
 
-  /** Returns whether so many endpoints are silent that they may have commits which no other has. */
+  private boolean includesAll(Candidate candidate) {
+    Position received = candidate.status().received();
+    return received.includes(highest) && LogCopies.includes(received, copies.required());
+  }
+
+  /**
+   * Returns whether so many copies were not heard that they may have commits which no other has.
+   */
   boolean mayLackCommits() {
-    return synchronousReplicas > 0 && silent.size() >= synchronousReplicas;
+    int needed = synchronousReplicas.getAsInt();
+    return needed > 0 && silent().size() >= needed;
   }
 
-  /** Returns the endpoints that have not answered. */
-  Set<EndpointId> silent() {
-    return Set.copyOf(silent.keySet());
+  /** Returns the copies that were not heard. */
+  List<LogCopy> silent() {
+    return copies.copies().stream().filter(copy -> !isOfPrimary(copy) && !isHeard(copy)).toList();
   }
 
-  /** Returns whether all endpoints that have not answered have left the list. */
+  private boolean isHeard(LogCopy copy) {
+    return reports.stream().anyMatch(report -> report.isOf(copy) && isReliable(report));
+  }
+
+  /** Returns whether all copies that were not heard belong to endpoints that have left the list. */
   boolean missesOnlyUnlisted() {
-    return silent.keySet().stream().noneMatch(listed::contains);
+    return silent().stream().noneMatch(this::isListed);
+  }
+
+  /** Logs what an operator has given up by a number of zero synchronous replicas. */
+  void logGivenUp(GroupId group, Candidate chosen) {
+    boolean proven = silent().isEmpty() && includesAll(chosen);
+    if (synchronousReplicas.getAsInt() == 0 && copies.areKept() && !proven) {
+      Logger.warn(
+          "{}: promoting {} at log position {} without proof, since the configuration has no"
+              + " synchronous replicas any longer; acknowledged commits that only {} have, and"
+              + " those up to {}, are lost",
+          group,
+          chosen.entry().id(),
+          chosen.status().received(),
+          silent(),
+          needed());
+    }
+  }
+
+  /** Returns the position that the chosen endpoint has to include. */
+  Position needed() {
+    return Position.latest(copies.required(), highest);
+  }
+
+  private boolean isListed(LogCopy copy) {
+    return listed.stream().anyMatch(copy::isSameAs);
+  }
+
+  private boolean isOfPrimary(LogCopy copy) {
+    return primary.equals(Optional.of(copy.endpoint()));
   }
 
   private static Position latest(List<Candidate> candidates) {
@@ -113,4 +209,11 @@
         .filter(candidate -> candidate.status().received().includes(needed))
         .max(BY_STATE_LOG_POSITION_AND_UPTIME);
   }
+
+  /** What an endpoint has reported of its log last, and when it did first. */
+  private record Report(LogCopy copy, Position received, Instant since) {
+    boolean isOf(LogCopy other) {
+      return copy.isSameAs(other);
+    }
+  }
 }
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/RecordRecovery.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/RecordRecovery.java
@@ -115,7 +115,10 @@
   private static PrimaryRecord withPrimaryOfLaterTerm(
       PrimaryRecord record, List<Candidate> candidates) {
     return Candidate.primaryOfLaterTerm(candidates, record.term())
-        .map(primary -> record.withPrimary(primary.entry().id(), primary.status().term()))
+        .map(
+            primary ->
+                record.withPrimary(
+                    primary.entry().id(), primary.status().term(), primary.status().received()))
         .orElse(record);
   }
 }
--- a/serving/src/test/java/org/mimosacleat/serving/peer/RelayCodecTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/peer/RelayCodecTest.java
@@ -30,6 +30,8 @@
 import org.mimosacleat.serving.fleet.ReadConsistency;
 import org.mimosacleat.serving.fleet.Route;
 import org.mimosacleat.serving.promotion.Confirmation;
+import org.mimosacleat.serving.promotion.LogCopies;
+import org.mimosacleat.serving.promotion.LogCopy;
 import org.mimosacleat.serving.promotion.PrimaryRecord;
 import org.mimosacleat.serving.promotion.ProxyRecord;
 import org.mimosacleat.serving.promotion.RecordedPrimary;
@@ -71,7 +73,8 @@
             new PeerFrame.StoreContact(
                 12, Duration.ofMillis(40), new StoreVersion(new StoreEra(2), 9)),
             new PeerFrame.Changes(new FeedPage("op", new StoreEra(2), 3, 9, List.of())),
-            new PeerFrame.StopPrimary(8, claim()),
+            new PeerFrame.StopPrimary(8, claim(LogCopies.NONE)),
+            new PeerFrame.StopPrimary(8, claim(copies())),
             new PeerFrame.Stopped(8, true),
             new PeerFrame.RenewLease(9, leaseRecord(), new StoreVersion(new StoreEra(3), 78)),
             new PeerFrame.RenewLease(
@@ -109,7 +112,14 @@
     return new ProxyRecord(member, Set.of(new GroupId("ledger-1"), new GroupId("ledger-2")), 900);
   }
 
-  private static RecordedPrimary claim() {
+  private static LogCopies copies() throws IOException {
+    InetAddress address = InetAddress.getByAddress(new byte[] {10, 1, 0, (byte) 200});
+    LogCopy copy =
+        new LogCopy(new EndpointId("i-1"), new InetSocketAddress(address, 7_440), 1_700, true);
+    return new LogCopies(Set.of(copy), POSITION, true);
+  }
+
+  private static RecordedPrimary claim(LogCopies copies) {
     Replacement replacement = new Replacement(new VmId("vm-1"), false);
     PrimaryRecord record =
         new PrimaryRecord(
@@ -118,7 +128,8 @@
             new Term(3),
             4,
             Optional.of(replacement),
-            new Confirmation(new StoreEra(2), 15_000));
+            new Confirmation(new StoreEra(2), 15_000),
+            copies);
     return new RecordedPrimary(record, new StoreVersion(new StoreEra(3), 77));
   }
 
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/FakeGroup.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/FakeGroup.java
@@ -45,7 +45,7 @@
     this.endpoints = endpoints;
   }
 
-  private static PrimaryAccess access(
+  static PrimaryAccess access(
       VmId self,
       ServingFixture proxy,
       SharedRecords shared,
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/FakeRecords.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/FakeRecords.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.UnaryOperator;
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.core.id.VmId;
 import org.mimosacleat.serving.version.StoreEra;
@@ -29,6 +30,9 @@
   /** Calls that write lease records, whatever their result. */
   int renewalCalls;
 
+  /** Changes what is stored of each record of a primary. */
+  UnaryOperator<PrimaryRecord> storing = UnaryOperator.identity();
+
   /** Of records that the store holds from the start. */
   static final Confirmation CONFIRMED = new Confirmation(new StoreEra(1), 0);
 
@@ -74,7 +78,7 @@
     if (primary.map(RecordedPrimary::version).orElse(version(0)).number() != expected.number()) {
       return Either.left(RecordFailure.CONFLICT);
     }
-    primary = Optional.of(new RecordedPrimary(record, version(++version)));
+    primary = Optional.of(new RecordedPrimary(storing.apply(record), version(++version)));
     written.add(record);
     Either<RecordFailure, StoreVersion> answer = performed(expected);
     beforeAnswer.run();
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/GroupFailoverControllerTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/GroupFailoverControllerTest.java
@@ -245,7 +245,7 @@
     proxy.replica.role = EndpointRole.PRIMARY;
     proxy.replica.term = new Term(2);
     write(recorded().withReplacement(new Replacement(OTHER, true)));
-    write(recorded().withPrimary(proxy.replica.id(), proxy.replica.term));
+    write(recorded().withPrimary(proxy.replica.id(), proxy.replica.term, proxy.replica.position()));
     controller.evaluate(NO_SUSPICION);
   }
 
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryRecordsTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryRecordsTest.java
@@ -12,6 +12,7 @@
 import org.mimosacleat.core.id.EndpointId;
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.core.id.VmId;
+import org.mimosacleat.core.position.Position;
 import org.mimosacleat.core.position.Term;
 import org.mimosacleat.serving.version.StoreEra;
 import org.mimosacleat.serving.version.StoreVersion;
@@ -30,7 +31,8 @@
           new Confirmation(new StoreEra(1), 0));
   private static final PrimaryRecord CLAIMED =
       BEFORE.withReplacement(new Replacement(new VmId("vm-1"), false));
-  private static final PrimaryRecord REPLACED = CLAIMED.withPrimary(PROMOTED, new Term(2));
+  private static final PrimaryRecord REPLACED =
+      CLAIMED.withPrimary(PROMOTED, new Term(2), Position.NONE);
 
   private final List<RecordedPrimary> heard = new ArrayList<>();
   private final PrimaryRecords records = new PrimaryRecords(heard::add);
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/PromotionChoiceTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/PromotionChoiceTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -13,6 +14,7 @@
 import org.mimosacleat.core.position.LogPosition;
 import org.mimosacleat.core.position.Position;
 import org.mimosacleat.core.position.Term;
+import org.mimosacleat.core.time.PausedClock;
 import org.mimosacleat.serving.FakeEndpoint;
 import org.mimosacleat.serving.fleet.EndpointEntry;
 import org.mimosacleat.serving.fleet.EndpointRole;
@@ -24,6 +26,9 @@
   private static final int LOG_END = 40;
   private static final int POLLS = 6;
 
+  /** So long that a shorter log counts at the next poll. */
+  private static final Duration POLL_INTERVAL = Duration.ofSeconds(5);
+
   /** Chooses among the candidates of one poll. */
   private interface Chooser {
     Optional<Candidate> choose(
@@ -36,13 +41,22 @@
   }
 
   private static Chooser chooser(PromotionChoice choice) {
+    PausedClock clock = new PausedClock();
     return (listed, answered, mayWait) -> {
-      choice.observe(listed, answered);
+      clock.advance(POLL_INTERVAL);
+      choice.observe(listed, answered, clock.instant());
       return choice.choose(answered, mayWait);
     };
   }
 
-  private static final Rule CHOICE = (count, end) -> chooser(new PromotionChoice(count, end));
+  private static final Rule CHOICE = (count, end) -> chooser(choice(count, end));
+
+  private static PromotionChoice choice(int synchronousReplicas, Optional<Position> primaryEnd) {
+    PromotionChoice choice =
+        new PromotionChoice(() -> synchronousReplicas, Optional.empty(), LogCopies.NONE);
+    primaryEnd.ifPresent(choice::primaryEndsAt);
+    return choice;
+  }
 
   /** Generated logs, roles and silences. */
   private static final class Generated {
@@ -134,9 +148,9 @@
   /** The generated cases find rules that are slightly wrong. */
   @Test
   void wrongRulesAreFound() {
-    Rule oneMoreSilent = (count, end) -> chooser(new PromotionChoice(count + 1, end));
+    Rule oneMoreSilent = (count, end) -> chooser(choice(count + 1, end));
     assertTrue(losses(oneMoreSilent, 1) > 0, "one more silent endpoint");
-    Rule asynchronous = (_, end) -> chooser(new PromotionChoice(0, end));
+    Rule asynchronous = (_, end) -> chooser(choice(0, end));
     assertTrue(losses(asynchronous, 1) > 0, "synchronous replicas ignored");
     Rule withoutDraining =
         (_, _) ->
@@ -152,9 +166,17 @@
     assertTrue(losses(forgetful, 1) > 0, "endpoints that left are forgotten");
   }
 
+  private final PausedClock clock = new PausedClock();
   private final FakeEndpoint ahead = new FakeEndpoint("a", EndpointRole.REPLICA, 1);
   private final FakeEndpoint behind = new FakeEndpoint("b", EndpointRole.REPLICA, 2);
 
+  /** Observes twice, so that a shorter log counts if its entry stays. */
+  private void observe(PromotionChoice choice, List<EndpointEntry> listed, Candidate... answered) {
+    choice.observe(listed, List.of(answered), clock.instant());
+    clock.advance(POLL_INTERVAL);
+    choice.observe(listed, List.of(answered), clock.instant());
+  }
+
   private Optional<String> chosen(PromotionChoice choice, boolean mayWait, Candidate... answered) {
     return choice
         .choose(List.of(answered), mayWait)
@@ -164,55 +186,70 @@
   @Test
   void drainingEndpointIsChosenIfOnlyItHasTheCommits() {
     ahead.number = 11;
-    PromotionChoice choice = new PromotionChoice(1, Optional.empty());
+    PromotionChoice choice = choice(1, Optional.empty());
     Candidate draining = candidate(ahead.entry(true), ahead);
     Candidate staying = candidate(behind.entry(), behind);
-    choice.observe(List.of(draining.entry(), staying.entry()), List.of(draining, staying));
+    observe(choice, List.of(draining.entry(), staying.entry()), draining, staying);
 
     assertEquals(Optional.of("a"), chosen(choice, true, draining, staying));
   }
 
   @Test
   void drainingEndpointIsNotChosenIfAnotherHasTheSameLog() {
-    PromotionChoice choice = new PromotionChoice(0, Optional.empty());
+    PromotionChoice choice = choice(0, Optional.empty());
     Candidate draining = candidate(ahead.entry(true), ahead);
     Candidate staying = candidate(behind.entry(), behind);
-    choice.observe(List.of(draining.entry(), staying.entry()), List.of(draining, staying));
+    observe(choice, List.of(draining.entry(), staying.entry()), draining, staying);
 
     assertEquals(Optional.of("b"), chosen(choice, true, draining, staying));
   }
 
+  /** Guards against an endpoint that has started again while its entry is of the earlier start. */
+  @Test
+  void shorterLogCountsOnceItsEntryHasStayed() {
+    ahead.number = 11;
+    PromotionChoice choice = choice(1, Optional.empty());
+    Candidate first = candidate(ahead.entry(), ahead);
+    Candidate second = candidate(behind.entry(), behind);
+    List<EndpointEntry> listed = List.of(first.entry(), second.entry());
+    choice.observe(listed, List.of(first, second), clock.instant());
+
+    assertEquals(Optional.empty(), chosen(choice, false, first, second));
+    observe(choice, listed, first, second);
+    assertEquals(Optional.of("a"), chosen(choice, false, first, second));
+  }
+
   @Test
   void silentEndpointIsAwaitedWhetherOrNotItIsListed() {
-    PromotionChoice choice = new PromotionChoice(1, Optional.empty());
+    PromotionChoice choice = choice(1, Optional.empty());
     Candidate answered = candidate(behind.entry(), behind);
-    choice.observe(List.of(ahead.entry(), behind.entry()), List.of(answered));
+    choice.observe(List.of(ahead.entry(), behind.entry()), List.of(answered), clock.instant());
 
     assertEquals(Optional.empty(), chosen(choice, false, answered));
-    choice.observe(List.of(behind.entry()), List.of(answered));
+    choice.observe(List.of(behind.entry()), List.of(answered), clock.instant());
     assertEquals(Optional.empty(), chosen(choice, false, answered));
     assertTrue(choice.missesOnlyUnlisted());
   }
 
   @Test
   void successorOfDrainedEndpointAnswersForIt() {
-    PromotionChoice choice = new PromotionChoice(1, Optional.empty());
-    choice.observe(List.of(ahead.entry(true), behind.entry()), List.of());
+    PromotionChoice choice = choice(1, Optional.empty());
+    choice.observe(List.of(ahead.entry(true), behind.entry()), List.of(), clock.instant());
     EndpointEntry successor = withId("c", ahead.entry());
     FakeEndpoint next = new FakeEndpoint("c", EndpointRole.REPLICA, 3);
     next.number = 11;
     Candidate first = candidate(successor, next);
     Candidate second = candidate(behind.entry(), behind);
-    choice.observe(List.of(successor, behind.entry()), List.of(first, second));
+    observe(choice, List.of(successor, behind.entry()), first, second);
 
     assertEquals(Optional.of("c"), chosen(choice, false, first, second));
   }
 
   @Test
   void endpointWithTheEndOfTheFencedPrimaryIsChosenAlthoughAnotherIsSilent() {
-    PromotionChoice choice = new PromotionChoice(1, Optional.of(behind.position()));
+    PromotionChoice choice = choice(1, Optional.of(behind.position()));
     Candidate answered = candidate(behind.entry(), behind);
-    choice.observe(List.of(ahead.entry(), behind.entry()), List.of(answered));
+    choice.observe(List.of(ahead.entry(), behind.entry()), List.of(answered), clock.instant());
 
     assertEquals(Optional.of("b"), chosen(choice, true, answered));
   }
