Do not rely on answers of a primary whose replacement did not wait for this proxy

A success could be passed on for a write that a former primary committed after a promotion.

Cause: the last check before a success asks whether the lease is held and the endpoint is the last known primary. After a loss of the lease both hold again as soon as it is renewed and the records are read, although the record then shows a replacement that has waited for the expiry only and may have promoted already. Until the new primary was recorded, or the connections were closed, answers to statements of the earlier period were taken.

Now access that begins while the primary is being replaced notes that the replacement may end without this proxy; then nothing is passed on until the next primary is recorded. A replacement that began during the lease waits for this proxy, so its answers are passed on as before.

--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryAccess.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryAccess.java
@@ -148,6 +148,10 @@
       records.put(recorded);
       follow(recorded.record().group());
     }
+    // Access to these begins now, so a replacement in progress may not have waited for this proxy.
+    groups.stream()
+        .filter(group -> !isCurrent(group))
+        .forEach(group -> groupStates.of(group).distrustReplacedPrimary());
     Set<GroupId> unconfirmed = new HashSet<>(groups);
     unconfirmed.removeIf(group -> isCurrent(group) || isConfirmed(group));
     Set<GroupId> usable = new HashSet<>(groups);
--- a/serving/src/main/java/org/mimosacleat/serving/routing/GroupState.java
+++ b/serving/src/main/java/org/mimosacleat/serving/routing/GroupState.java
@@ -52,6 +52,24 @@
     return state.get().primary();
   }
 
+  /**
+   * Returns whether answers of an endpoint are those of the primary: it is the last known one, and
+   * no replacement of it can have ended that this proxy was not asked to confirm.
+   */
+  boolean isReliablePrimary(EndpointId endpoint) {
+    Snapshot now = state.get();
+    return now.primary().equals(Optional.of(endpoint))
+        && now.pause().map(pause -> pause.planned() || !pause.unconfirmed()).orElse(true);
+  }
+
+  /**
+   * Notes that a replacement in progress may have begun, and may end, without this proxy: it had no
+   * right to use the primary when the replacement was found.
+   */
+  public void distrustReplacedPrimary() {
+    state.updateAndGet(Snapshot::withUnconfirmedPause);
+  }
+
   /** Returns the term of the primary. */
   public Term term() {
     return state.get().term();
@@ -104,7 +122,7 @@
   /** Stops the use of the primary of this term until a primary of this or a later term is set. */
   public void pause(Term term) {
     Instant now = clock.instant();
-    Pause pause = new Pause(now, false);
+    Pause pause = new Pause(now, false, false);
     state.updateAndGet(old -> old.term().isAfter(term) ? old : old.withPause(pause));
   }
 
@@ -122,8 +140,13 @@
     return state.get().history().positionIncludingWritesBefore(moment);
   }
 
-  /** A pause of the use of the primary; a planned one lets open transactions go on. */
-  private record Pause(Instant since, boolean planned) {}
+  /**
+   * A pause of the use of the primary.
+   *
+   * @param planned whether open transactions may go on, because the primary is fenced first
+   * @param unconfirmed whether the replacement may end without a confirmation of this proxy
+   */
+  private record Pause(Instant since, boolean planned, boolean unconfirmed) {}
 
   private record Snapshot(
       Optional<EndpointId> primary,
@@ -147,7 +170,7 @@
       }
       Snapshot known = new Snapshot(primary, term, pause, unreachable, version, history);
       if (replacement != ReplacementKind.NONE) {
-        Pause newPause = new Pause(now, replacement == ReplacementKind.PLANNED);
+        Pause newPause = new Pause(now, replacement == ReplacementKind.PLANNED, false);
         return term.isAfter(recordedTerm) ? known : known.withPause(newPause);
       }
       return recorded.map(endpoint -> known.withPrimary(endpoint, recordedTerm)).orElse(known);
@@ -169,11 +192,21 @@
               PrimaryPositionHistory.empty());
     }
 
-    /** A pause that goes on keeps its begin. */
+    /** A pause that goes on keeps its begin, and remains unconfirmed. */
     Snapshot withPause(Pause next) {
       Instant since = pause.map(Pause::since).orElse(next.since());
-      Optional<Pause> merged = Optional.of(new Pause(since, next.planned()));
-      return new Snapshot(primary, term, merged, unreachable, recordVersion, history);
+      boolean unconfirmed = pause.map(Pause::unconfirmed).orElse(false);
+      return withMergedPause(new Pause(since, next.planned(), unconfirmed));
+    }
+
+    Snapshot withUnconfirmedPause() {
+      return pause
+          .map(known -> withMergedPause(new Pause(known.since(), known.planned(), true)))
+          .orElse(this);
+    }
+
+    private Snapshot withMergedPause(Pause merged) {
+      return new Snapshot(primary, term, Optional.of(merged), unreachable, recordVersion, history);
     }
 
     Snapshot withUnreachable(EndpointId endpoint, boolean nowUnreachable) {
--- a/serving/src/main/java/org/mimosacleat/serving/routing/TargetChooser.java
+++ b/serving/src/main/java/org/mimosacleat/serving/routing/TargetChooser.java
@@ -90,8 +90,7 @@
    * another endpoint before it was received.
    */
   public boolean isStillPrimary(EndpointPool pool, GroupId group) {
-    boolean known = groupStates.of(group).lastPrimary().equals(Optional.of(pool.entry().id()));
-    return known && mayUsePrimary(group);
+    return groupStates.of(group).isReliablePrimary(pool.entry().id()) && mayUsePrimary(group);
   }
 
   /** Returns the group's primary, or no target if it is unknown or must not be used now. */
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryAccessExplorationTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryAccessExplorationTest.java
@@ -158,7 +158,14 @@
         access.isGranted(FakeEndpoint.GROUP)
             || (mutant == Mutant.KEEPS_YOUNG_ACCESS && access.isYoung());
     boolean uses = granted && proxy.groupState().primary().isPresent();
-    return uses && replacing.join();
+    boolean relies = granted && reliesOnAnswers(proxy);
+    return (uses || relies) && replacing.join();
+  }
+
+  /** Returns whether an answer to a statement that was sent before is taken as the primary's. */
+  private static boolean reliesOnAnswers(ServingFixture proxy) {
+    return proxy.chooser.isStillPrimary(
+        proxy.pools.find(proxy.primary.id()).orElseThrow(), FakeEndpoint.GROUP);
   }
 
   private static PrimaryRecord firstRecord() {
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryAccessTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryAccessTest.java
@@ -6,6 +6,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -15,6 +16,8 @@
 import org.mimosacleat.serving.FakeEndpoint;
 import org.mimosacleat.serving.FakeMember;
 import org.mimosacleat.serving.ServingFixture;
+import org.mimosacleat.serving.routing.SuspensionDetector;
+import org.mimosacleat.serving.routing.TargetChooser;
 import org.mimosacleat.serving.version.StoreVersion;
 
 class PrimaryAccessTest {
@@ -103,6 +106,65 @@
     assertEquals(Optional.empty(), proxy.groupState().primary());
   }
 
+  /**
+   * Guards against: a former primary acknowledges a commit after a promotion, and the answer
+   * arrives once the lease is renewed, while the new primary is not recorded yet.
+   */
+  @Test
+  void answersAreNotReliedOnIfTheReplacementBeganAfterTheLeaseWasLost() {
+    access.request(Set.of(FakeEndpoint.GROUP));
+    access.renew();
+    assertTrue(isStillPrimary(proxy.primary));
+    wallClock.advance(Duration.ofSeconds(20));
+    claim();
+
+    access.renew();
+
+    assertTrue(access.isGranted(FakeEndpoint.GROUP));
+    assertFalse(isStillPrimary(proxy.primary));
+  }
+
+  /** The replacement waits for this proxy, so what is answered before that is not lost. */
+  @Test
+  void answersAreReliedOnIfTheReplacementBeganDuringTheLease() {
+    access.request(Set.of(FakeEndpoint.GROUP));
+    access.renew();
+    claim();
+    shared.primary.orElseThrow().applyTo(proxy.groupState());
+
+    access.renew();
+
+    assertTrue(isStillPrimary(proxy.primary));
+  }
+
+  @Test
+  void answersOfTheNextPrimaryAreReliedOn() {
+    claim();
+    access.request(Set.of(FakeEndpoint.GROUP));
+    access.renew();
+    RecordedPrimary claimed = shared.primary.orElseThrow();
+    shared.writePrimary(
+        claimed.record().withPrimary(proxy.replica.id(), new Term(2), proxy.replica.position()),
+        claimed.version());
+
+    shared.primary.orElseThrow().applyTo(proxy.groupState());
+
+    assertTrue(isStillPrimary(proxy.replica));
+  }
+
+  private boolean isStillPrimary(FakeEndpoint endpoint) {
+    TargetChooser chooser =
+        new TargetChooser(
+            proxy.fleet,
+            proxy.pools,
+            proxy.groupStates,
+            access::isGranted,
+            new SuspensionDetector(proxy.clock, wallClock),
+            new Random(1));
+    return chooser.isStillPrimary(
+        proxy.pools.find(endpoint.id()).orElseThrow(), FakeEndpoint.GROUP);
+  }
+
   @Test
   void olderRecordDoesNotEndPause() {
     RecordedPrimary before = shared.primary.orElseThrow();
