Know by an older connection that an endpoint with a shorter log has not started again

Cause: a shorter log counts only once the entry of its endpoint has stayed for 4.5 s, since the endpoint may have started again behind its old entry.

Now the answer to a STATUS over a pooled connection that was opened more than 4.5 s before shows that the endpoint has run all the while, and its shorter log counts at once; without such a connection the wait stays. PrimaryReplacementTest has a case for each. Not asked without synchronous replicas.

--- a/serving/src/main/java/org/mimosacleat/serving/endpoint/EndpointPool.java
+++ b/serving/src/main/java/org/mimosacleat/serving/endpoint/EndpointPool.java
@@ -156,6 +156,19 @@
         ErrorKind.OVERLOADED, "no connection to endpoint " + entry().id() + " became free in time");
   }
 
+  /** Borrows an idle connection, of any team, that was opened before a moment; does not wait. */
+  public Optional<BorrowedConnection> borrowOpenedBefore(Instant moment) {
+    if (!acquirePermit(Urgency.NONE, clock.instant())) {
+      return Optional.empty();
+    }
+    borrowed.incrementAndGet();
+    Optional<PooledConnection> taken = connections.takeOpenedBefore(moment);
+    if (taken.isEmpty()) {
+      returnPermit();
+    }
+    return taken.map(pooled -> new BorrowedConnection(this, pooled, clock));
+  }
+
   private <T> Either<Failure, T> refuse() {
     return failure(
         ErrorKind.TOO_MANY_CONNECTIONS, "endpoint " + entry().id() + " admits no connection now");
@@ -214,7 +227,7 @@
     }
     health.recordAnswer();
     opened.increment();
-    PooledConnection pooled = new PooledConnection(connection, team);
+    PooledConnection pooled = new PooledConnection(connection, team, clock.instant());
     connections.opened(pooled);
     return new BorrowedConnection(this, pooled, clock);
   }
--- a/serving/src/main/java/org/mimosacleat/serving/endpoint/OpenConnections.java
+++ b/serving/src/main/java/org/mimosacleat/serving/endpoint/OpenConnections.java
@@ -1,5 +1,6 @@
 package org.mimosacleat.serving.endpoint;
 
+import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashSet;
@@ -57,6 +58,21 @@
     }
   }
 
+  /** Takes an idle connection of any team that was opened before a moment. */
+  Optional<PooledConnection> takeOpenedBefore(Instant moment) {
+    lock.lock();
+    try {
+      removeClosed();
+      Optional<PooledConnection> found =
+          idle.stream().filter(pooled -> pooled.openedAt().isBefore(moment)).findFirst();
+      found.ifPresent(idle::remove);
+      found.ifPresent(inUse::add);
+      return found;
+    } finally {
+      lock.unlock();
+    }
+  }
+
   /** All idle connections belong to other teams here. */
   private ConnectionSlot newSlot() {
     Optional<PooledConnection> evicted = Optional.empty();
--- a/serving/src/main/java/org/mimosacleat/serving/endpoint/PooledConnection.java
+++ b/serving/src/main/java/org/mimosacleat/serving/endpoint/PooledConnection.java
@@ -1,5 +1,6 @@
 package org.mimosacleat.serving.endpoint;
 
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -20,12 +21,14 @@
 
   private final EndpointConnection connection;
   private final Optional<TeamId> team;
+  private final Instant openedAt;
   private final Map<String, String> values = new HashMap<>();
   private final Set<PreparedShape> prepared = new HashSet<>();
 
-  PooledConnection(EndpointConnection connection, Optional<TeamId> team) {
+  PooledConnection(EndpointConnection connection, Optional<TeamId> team, Instant openedAt) {
     this.connection = connection;
     this.team = team;
+    this.openedAt = openedAt;
   }
 
   /** Returns the team to which the connection is bound; empty if to none. */
@@ -33,6 +36,11 @@
     return team;
   }
 
+  /** Returns a moment at which the connection was open already. */
+  Instant openedAt() {
+    return openedAt;
+  }
+
   EndpointConnection connection() {
     return connection;
   }
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/LogCopies.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/LogCopies.java
@@ -2,6 +2,7 @@
 
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
 import org.mimosacleat.core.check.Checks;
@@ -37,6 +38,11 @@
     return !copies.isEmpty();
   }
 
+  /** Returns the copy of the same endpoint since the same start. */
+  Optional<LogCopy> find(LogCopy copy) {
+    return copies.stream().filter(copy::isSameAs).findFirst();
+  }
+
   /**
    * Returns these with what listed endpoints say of their copies, and with the copies of those that
    * are new, unless no other log can get an acknowledged commit.
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryReplacement.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryReplacement.java
@@ -63,6 +63,7 @@
   private final FailoverDependencies dependencies;
   private final GroupId group;
   private final EndpointStatusPoller statusPoller;
+  private final EndpointUptime uptime;
   private final Set<EndpointId> refusedEndpoints = new HashSet<>();
   private RecordedPrimary claim;
   private ClockReading claimedAt;
@@ -78,6 +79,7 @@
     this.users = new PrimaryUsers(dependencies, group);
     this.statusPoller =
         new EndpointStatusPoller(dependencies.administration(), dependencies.executor());
+    this.uptime = new EndpointUptime(dependencies.pools(), dependencies.clock());
   }
 
   /**
@@ -242,6 +244,11 @@
             .toList();
     List<Candidate> candidates = statusPoller.poll(others);
     choice.observe(listed, candidates, dependencies.clock().instant());
+    candidates.stream()
+        .filter(choice::isInDoubt)
+        .map(Candidate::entry)
+        .filter(entry -> uptime.hasRunFor(PromotionChoice.ENTRY_LIFETIME, entry))
+        .forEach(choice::confirmUptime);
     boolean misses =
         dependencies.synchronousReplicas(group) > 0
             && !mayWait
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PromotionChoice.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PromotionChoice.java
@@ -25,8 +25,9 @@
  * Without synchronous replicas the most advanced endpoint that answers is chosen.
  *
  * <p>An endpoint that has started again reports a shorter log, perhaps before its entry shows the
- * new start. So one that reports less than another counts as heard only once its entry has stayed
- * for longer than an entry does that its endpoint no longer writes.
+ * new start. So one that reports less than another counts as heard only if it is known to have run
+ * for longer than an entry is listed that its endpoint no longer writes, or once its entry has
+ * stayed for so long.
  */
 final class PromotionChoice {
   /** Orders endpoints whose logs suffice: one that drains has to be replaced again soon. */
@@ -35,13 +36,14 @@
           .thenComparing(Candidate.BY_LOG_POSITION_AND_UPTIME);
 
   /** Longer than an entry is listed that its endpoint no longer writes. */
-  private static final Duration ENTRY_LIFETIME = Duration.ofMillis(4_500);
+  static final Duration ENTRY_LIFETIME = Duration.ofMillis(4_500);
 
   private final IntSupplier synchronousReplicas;
   private final Optional<EndpointId> primary;
   private LogCopies copies;
   private List<LogCopy> listed = List.of();
   private final List<Report> reports = new ArrayList<>();
+  private final List<LogCopy> continuous = new ArrayList<>();
   private Instant observedAt = Instant.MIN;
   private Position highest = Position.NONE;
   private Optional<Position> primaryEnd = Optional.empty();
@@ -101,11 +103,23 @@
     }
   }
 
+  /** Returns whether it would help to know that an endpoint that answered has run for long. */
+  boolean isInDoubt(Candidate candidate) {
+    LogCopy copy = LogCopy.of(candidate.entry());
+    return synchronousReplicas.getAsInt() > 0 && copies.find(copy).isPresent() && !isHeard(copy);
+  }
+
+  /** Records that an endpoint had run for {@link #ENTRY_LIFETIME} when it answered. */
+  void confirmUptime(EndpointEntry entry) {
+    continuous.add(LogCopy.of(entry));
+  }
+
   /** Returns whether a report is about the copy itself, and not about a later one. */
   private boolean isReliable(Report report) {
     boolean isComplete = report.received().includes(highest);
+    boolean hasRun = continuous.stream().anyMatch(report::isOf);
     boolean stayed = !observedAt.isBefore(report.since().plus(ENTRY_LIFETIME));
-    return isComplete || (stayed && isListed(report.copy()));
+    return isComplete || hasRun || (stayed && isListed(report.copy()));
   }
 
   /**
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryReplacementTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryReplacementTest.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ExecutorService;
@@ -24,6 +25,7 @@
 import org.mimosacleat.serving.FakeEndpoint;
 import org.mimosacleat.serving.FakeMember;
 import org.mimosacleat.serving.ServingFixture;
+import org.mimosacleat.serving.endpoint.Urgency;
 import org.mimosacleat.serving.fleet.EndpointRole;
 import org.mimosacleat.serving.fleet.Teams;
 import org.mimosacleat.serving.version.StoreVersion;
@@ -115,6 +117,53 @@
     assertEquals(List.of(), group.requests);
   }
 
+  /** Guards against a wait in which a draining replica that alone has the commits ends. */
+  @Test
+  void shorterLogDelaysNothingIfItsEndpointIsKnownToHaveRun() {
+    openConnection(replica);
+    proxy.clock.advance(PromotionChoice.ENTRY_LIFETIME.plusMillis(1));
+
+    assertTrue(gapWithOneReplicaBehind().toMillis() < MAX_MEDIAN_GAP_MILLIS);
+  }
+
+  @Test
+  void shorterLogIsWaitedForIfItsEndpointMayHaveStartedAgain() {
+    openConnection(replica);
+
+    Duration gap = gapWithOneReplicaBehind();
+
+    assertTrue(gap.compareTo(PromotionChoice.ENTRY_LIFETIME) >= 0, "gap: " + gap);
+  }
+
+  private void openConnection(FakeEndpoint endpoint) {
+    proxy
+        .pools
+        .find(endpoint.id())
+        .orElseThrow()
+        .borrow(
+            Optional.empty(),
+            Map.of(),
+            new Urgency(0, proxy.clock.instant()),
+            proxy.clock.instant().plusSeconds(1))
+        .get()
+        .release();
+  }
+
+  /** Replaces the primary while only the other replica has all commits. */
+  private Duration gapWithOneReplicaBehind() {
+    proxy.configure(2, Teams.NOT_CONFIGURED, 1);
+    otherReplica.number = replica.number + 1;
+    oldPrimary.reachable = false;
+    final Instant start = proxy.clock.instant();
+    AtomicReference<Instant> promotedAt = new AtomicReference<>();
+    group.promotionListener = () -> promotedAt.set(proxy.clock.instant());
+
+    assertTrue(run(false));
+
+    assertTrue(group.requests.getFirst().startsWith("promote y"));
+    return Duration.between(start, promotedAt.get());
+  }
+
   @Test
   void replacementWithoutSynchronousReplicasDoesNotWaitForSilentEndpoints() {
     otherReplica.reachable = false;
