Keep the copies of a log that the store has lost

Seen by callers: none; found by reading. After a return of the store from an older copy a record of the same term and round replaced the remembered one, and with it the copies of the log that had been recorded since: with sync_replicas an endpoint that has acknowledged commits could have been forgotten.

Now what is remembered and what is read are put together, and the record counts as lost until it is written again, as other lost records do. PrimaryRecordsTest: the case failed before; in one era nothing changes.

--- a/serving/src/main/java/org/mimosacleat/serving/promotion/LogCopies.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/LogCopies.java
@@ -58,6 +58,15 @@
     return new LogCopies(all, required, complete);
   }
 
+  /** Returns what holds whichever of both is the later one. */
+  LogCopies and(LogCopies other) {
+    Set<LogCopy> all = new LinkedHashSet<>();
+    copies.forEach(copy -> all.add(other.find(copy).filter(LogCopy::draining).orElse(copy)));
+    other.copies.stream().filter(copy -> find(copy).isEmpty()).forEach(all::add);
+    return new LogCopies(
+        all, Position.latest(required, other.required), complete && other.complete);
+  }
+
   /** Returns these without the copies that satisfy a condition. */
   LogCopies without(Predicate<LogCopy> condition) {
     Set<LogCopy> kept = new LinkedHashSet<>(copies);
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryRecords.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryRecords.java
@@ -77,13 +77,29 @@
     Known updatedBy(Known read) {
       StoreVersion version = read.latest.version();
       if (version.isAfter(latest.version())) {
-        return latest.record().isLaterThan(read.latest.record()) ? lostAt(version) : read;
+        return latest.record().isLaterThan(read.latest.record())
+            ? lostAt(version)
+            : read.withCopiesBefore(latest);
       }
       return read.latest.record().isLaterThan(latest.record())
           ? new Known(new RecordedPrimary(read.latest.record(), latest.version()), true)
           : this;
     }
 
+    /** Keeps copies of the log that an older copy of the store lacks. */
+    private Known withCopiesBefore(RecordedPrimary before) {
+      PrimaryRecord record = latest.record();
+      boolean isSameRound = !record.isLaterThan(before.record());
+      boolean isSameEra = latest.version().era().equals(before.version().era());
+      if (!isSameRound || isSameEra || !before.record().copies().areKept()) {
+        return this;
+      }
+      LogCopies all = record.copies().and(before.record().copies());
+      return all.equals(record.copies())
+          ? this
+          : new Known(new RecordedPrimary(record.withCopies(all), latest.version()), true);
+    }
+
     private Known lostAt(StoreVersion version) {
       return version.isAfter(latest.version())
           ? new Known(new RecordedPrimary(latest.record(), version), true)
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryRecordsTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryRecordsTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -12,6 +13,7 @@
 import org.mimosacleat.core.id.EndpointId;
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.core.id.VmId;
+import org.mimosacleat.core.position.LogPosition;
 import org.mimosacleat.core.position.Position;
 import org.mimosacleat.core.position.Term;
 import org.mimosacleat.serving.version.StoreEra;
@@ -109,6 +111,42 @@
     assertEquals(StoreVersion.absent(new StoreEra(2)), records.find(GROUP).orElseThrow().version());
   }
 
+  /** Guards against: nobody knows any longer which logs may hold acknowledged commits. */
+  @Test
+  void copiesOfTheLogThatTheStoreHasLostAreKept() {
+    PrimaryRecord earlier = BEFORE.withCopies(copies(4, copy("x", 1, false), copy("y", 1, false)));
+    PrimaryRecord later = BEFORE.withCopies(copies(9, copy("x", 1, true), copy("x", 2, false)));
+    records.put(recorded(later, 1, 84));
+
+    records.put(recorded(earlier, 2, 16));
+
+    LogCopies all = copies(9, copy("x", 1, true), copy("x", 2, false), copy("y", 1, false));
+    assertEquals(Optional.of(recorded(BEFORE.withCopies(all), 2, 16)), records.find(GROUP));
+    assertTrue(records.isLost(GROUP));
+  }
+
+  @Test
+  void copiesOfTheLogThatAreLeftOutInTheSameEraAreNotKept() {
+    PrimaryRecord earlier = BEFORE.withCopies(copies(4, copy("x", 1, false), copy("y", 1, false)));
+    PrimaryRecord later = BEFORE.withCopies(copies(9, copy("y", 1, false)));
+    records.put(recorded(earlier, 1, 10));
+
+    records.put(recorded(later, 1, 11));
+
+    assertEquals(Optional.of(recorded(later, 1, 11)), records.find(GROUP));
+    assertFalse(records.isLost(GROUP));
+  }
+
+  private static LogCopies copies(long required, LogCopy... copies) {
+    return new LogCopies(
+        Set.of(copies), new Position(new Term(1), new LogPosition(required)), false);
+  }
+
+  private static LogCopy copy(String endpoint, long startedAt, boolean draining) {
+    InetSocketAddress address = InetSocketAddress.createUnresolved(endpoint, 1);
+    return new LogCopy(new EndpointId(endpoint), address, startedAt, draining);
+  }
+
   private static RecordedPrimary recorded(PrimaryRecord record, long era, long version) {
     return new RecordedPrimary(record, new StoreVersion(new StoreEra(era), version));
   }
