Recognize a copy of the log at whatever address a proxy reaches its endpoint

Cause: the identity of a copy included the address, and in the review's deployment each proxy reaches an endpoint at an address of its own. So each proxy replaced what the other had recorded, and missed the other's copies.

Now a copy is an endpoint and its start; the address counts if the start is unknown, and for successors. Draining is remembered, whoever has seen it.

--- a/serving/src/main/java/org/mimosacleat/serving/promotion/LogCopies.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/LogCopies.java
@@ -50,7 +50,7 @@
   LogCopies with(List<LogCopy> listed) {
     Set<LogCopy> all = new LinkedHashSet<>();
     for (LogCopy copy : copies) {
-      all.add(listed.stream().filter(copy::isSameAs).findFirst().orElse(copy));
+      all.add(listed.stream().filter(copy::isSameAs).findFirst().map(copy::seenAs).orElse(copy));
     }
     if (!complete) {
       listed.stream().filter(copy -> all.stream().noneMatch(copy::isSameAs)).forEach(all::add);
@@ -61,7 +61,7 @@
   /** Returns what holds whichever of both is the later one. */
   LogCopies and(LogCopies other) {
     Set<LogCopy> all = new LinkedHashSet<>();
-    copies.forEach(copy -> all.add(other.find(copy).filter(LogCopy::draining).orElse(copy)));
+    copies.forEach(copy -> all.add(other.find(copy).map(copy::seenAs).orElse(copy)));
     other.copies.stream().filter(copy -> find(copy).isEmpty()).forEach(all::add);
     return new LogCopies(
         all, Position.latest(required, other.required), complete && other.complete);
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/LogCopy.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/LogCopy.java
@@ -29,11 +29,20 @@
     return new LogCopy(entry.id(), entry.address(), entry.startedAtMillis(), entry.draining());
   }
 
-  /** Returns whether both are the log of the same endpoint since the same start. */
+  /**
+   * Returns whether both are the log of the same endpoint since the same start, at whatever address
+   * a proxy reaches it.
+   */
   boolean isSameAs(LogCopy other) {
+    boolean isSameStart = startedAtMillis > 0 || address.equals(other.address);
     return endpoint.equals(other.endpoint)
-        && address.equals(other.address)
-        && startedAtMillis == other.startedAtMillis;
+        && startedAtMillis == other.startedAtMillis
+        && isSameStart;
+  }
+
+  /** Returns this copy, which drains if another proxy or this one has seen that. */
+  LogCopy seenAs(LogCopy other) {
+    return new LogCopy(endpoint, address, startedAtMillis, draining || other.draining);
   }
 
   /**
--- a/serving/src/test/java/org/mimosacleat/serving/session/EndedPrimaryUseTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/session/EndedPrimaryUseTest.java
@@ -5,19 +5,26 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.mimosacleat.core.connection.TransactionStatus;
 import org.mimosacleat.core.error.ErrorKind;
+import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.core.position.Term;
 import org.mimosacleat.serving.FakeEndpoint;
 import org.mimosacleat.serving.ServingFixture;
+import org.mimosacleat.serving.fleet.Configuration;
+import org.mimosacleat.serving.fleet.GroupSettings;
+import org.mimosacleat.serving.fleet.Route;
+import org.mimosacleat.serving.fleet.Teams;
 import org.mimosacleat.serving.relay.RelayContext;
 import org.mimosacleat.serving.relay.RelayRequest;
 import org.mimosacleat.serving.routing.ReplacementKind;
 import org.mimosacleat.serving.statement.Answer;
 import org.mimosacleat.serving.statement.ClientStatement;
 import org.mimosacleat.serving.statement.ForwardedStatement;
+import org.mimosacleat.serving.statement.PreparedShape;
 import org.mimosacleat.serving.statement.StatementBody;
 import org.mimosacleat.serving.statement.StatementId;
 import org.mimosacleat.serving.version.StoreEra;
@@ -186,6 +193,79 @@
     assertRolledBack(answer, TransactionStatus.IDLE);
   }
 
+  /** Guards against the same for a write of a prepared statement. */
+  @Test
+  void preparedWriteAnsweredAfterTheEndOfTheLeaseIsUncertain() {
+    PreparedShape shape = new PreparedShape(true, "a");
+    proxy.execute(session, new StatementBody.Prepare("p1", shape), "PREPARE p1 WRITE a");
+    proxy.primary.beforeAnswer = () -> proxy.canUsePrimaries = false;
+
+    Answer answer = proxy.execute(session, new StatementBody.Execute("p1", "1"), "EXEC p1 1");
+
+    assertEquals(ErrorKind.CONNECTION_LOST, kind(answer));
+  }
+
+  /** Guards against the same for a write that another proxy relays to this one. */
+  @Test
+  void relayedWriteAnsweredAfterTheEndOfTheLeaseIsUncertain() {
+    RelayContext context = proxy.relayContext(ServingFixture.LATEST);
+    ForwardedStatement write = statement("WRITE a 1", new StatementBody.Write(), true);
+    proxy.primary.beforeAnswer = () -> proxy.canUsePrimaries = false;
+
+    Answer answer =
+        proxy
+            .sessions
+            .openRelayed()
+            .register(new RelayRequest.RunStatement(context, write))
+            .get()
+            .answer();
+
+    assertEquals(ErrorKind.CONNECTION_LOST, kind(answer));
+  }
+
+  /** Guards against a write that is sent again after the lease has ended between two attempts. */
+  @Test
+  void refusedWriteIsNotRepeatedOnceTheLeaseHasEnded() {
+    proxy.primary.refuse(ErrorKind.OVERLOADED);
+    proxy.primary.beforeRefusal = () -> proxy.canUsePrimaries = false;
+
+    assertFalse(proxy.write(session).isDone());
+
+    assertFalse(hasRun("WRITE a 1"));
+  }
+
+  /** The commit belongs to the group in which its transaction has written. */
+  @Test
+  void transactionEndsInItsGroupAlthoughItsDatabaseHasMoved() {
+    openTransaction();
+    moveDatabase(new GroupId("another"));
+
+    assertTrue(proxy.commit(session).isDone());
+
+    assertEquals(ErrorKind.UNAVAILABLE, kind(proxy.write(session)));
+    assertEquals(1, proxy.primary.ran.stream().filter(ran -> ran.contains("WRITE")).count());
+  }
+
+  private void moveDatabase(GroupId group) {
+    Route before = proxy.relayContext(ServingFixture.LATEST).route();
+    Route moved =
+        new Route(
+            before.database(),
+            group,
+            before.readConsistency(),
+            before.statementTimeout(),
+            before.latencyObjective(),
+            before.priority(),
+            before.openToAll());
+    proxy.fleet.applyIfNewer(
+        new Configuration(
+            2,
+            Map.of(ServingFixture.LATEST, moved),
+            Map.of(group, new GroupSettings(group, 1, 0)),
+            Duration.ofSeconds(3),
+            Teams.NOT_CONFIGURED));
+  }
+
   private static ForwardedStatement statement(String text, StatementBody body, boolean writes) {
     return ForwardedStatement.plain(new ClientStatement(new StatementId("s"), text, body), writes);
   }
