Believe only the first start of a successor, and poll as before without synchronous replicas

A drained primary ended; its successor had its log and started again without it; a former primary came back and gave both replicas a part of the log; the successor was taken as one that has the whole.

Now the start of the first endpoint that is seen at the address is recorded with the copy, and a later start is believed no longer.

--- a/serving/src/main/java/org/mimosacleat/serving/peer/LogCopiesCodec.java
+++ b/serving/src/main/java/org/mimosacleat/serving/peer/LogCopiesCodec.java
@@ -24,7 +24,10 @@
     for (LogCopy copy : copies.copies()) {
       packer.packString(copy.endpoint().value());
       RenewalCodec.packAddress(packer, copy.address());
-      packer.packLong(copy.startedAtMillis()).packBoolean(copy.draining());
+      packer
+          .packLong(copy.startedAtMillis())
+          .packBoolean(copy.draining())
+          .packLong(copy.successorStartedAtMillis());
     }
     RelayCodec.packPosition(packer, copies.required());
     packer.packBoolean(copies.complete());
@@ -42,7 +45,8 @@
               new EndpointId(unpacker.unpackString()),
               RenewalCodec.unpackAddress(unpacker),
               unpacker.unpackLong(),
-              unpacker.unpackBoolean()));
+              unpacker.unpackBoolean(),
+              unpacker.unpackLong()));
     }
     return new LogCopies(copies, RelayCodec.unpackPosition(unpacker), unpacker.unpackBoolean());
   }
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/LogCopies.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/LogCopies.java
@@ -50,7 +50,8 @@
   LogCopies with(List<LogCopy> listed) {
     Set<LogCopy> all = new LinkedHashSet<>();
     for (LogCopy copy : copies) {
-      all.add(listed.stream().filter(copy::isSameAs).findFirst().map(copy::seenAs).orElse(copy));
+      Optional<LogCopy> present = listed.stream().filter(copy::isSameAs).findFirst();
+      all.add(present.map(copy::seenAs).orElseGet(() -> copy.succeededBy(listed)));
     }
     if (!complete) {
       listed.stream().filter(copy -> all.stream().noneMatch(copy::isSameAs)).forEach(all::add);
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/LogCopy.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/LogCopy.java
@@ -1,6 +1,7 @@
 package org.mimosacleat.serving.promotion;
 
 import java.net.InetSocketAddress;
+import java.util.List;
 import org.mimosacleat.core.check.Checks;
 import org.mimosacleat.core.id.EndpointId;
 import org.mimosacleat.serving.fleet.EndpointEntry;
@@ -14,19 +15,25 @@
  * @param startedAtMillis its start in milliseconds, by its own wall clock; zero if unknown
  * @param draining whether it was last known to be about to shut down, after which the next endpoint
  *     at its address has its log
+ * @param successorStartedAtMillis the start of that endpoint; zero if none has been seen
  */
 public record LogCopy(
-    EndpointId endpoint, InetSocketAddress address, long startedAtMillis, boolean draining) {
+    EndpointId endpoint,
+    InetSocketAddress address,
+    long startedAtMillis,
+    boolean draining,
+    long successorStartedAtMillis) {
   /** Checks the components. */
   public LogCopy {
     Checks.notNull("endpoint id", endpoint);
     Checks.notNull("address of " + endpoint, address);
     Checks.notNegative("start time of " + endpoint, startedAtMillis);
+    Checks.notNegative("start time of the successor of " + endpoint, successorStartedAtMillis);
   }
 
   /** Returns the copy of an endpoint as it describes itself now. */
   static LogCopy of(EndpointEntry entry) {
-    return new LogCopy(entry.id(), entry.address(), entry.startedAtMillis(), entry.draining());
+    return new LogCopy(entry.id(), entry.address(), entry.startedAtMillis(), entry.draining(), 0);
   }
 
   /**
@@ -40,15 +47,29 @@
         && isSameStart;
   }
 
-  /** Returns this copy, which drains if another proxy or this one has seen that. */
+  /** Returns this copy with what another proxy, or this one at another time, has seen of it. */
   LogCopy seenAs(LogCopy other) {
-    return new LogCopy(endpoint, address, startedAtMillis, draining || other.draining);
+    long successor =
+        successorStartedAtMillis > 0 ? successorStartedAtMillis : other.successorStartedAtMillis;
+    return new LogCopy(endpoint, address, startedAtMillis, draining || other.draining, successor);
+  }
+
+  /** Returns this copy, whose endpoint is no longer listed, with its successor if that is. */
+  LogCopy succeededBy(List<LogCopy> listed) {
+    return listed.stream()
+        .filter(this::isPassedOnTo)
+        .findFirst()
+        .map(next -> new LogCopy(endpoint, address, startedAtMillis, true, next.startedAtMillis))
+        .orElse(this);
   }
 
   /**
    * Returns whether an endpoint with another id at the address of this one has taken its log over.
+   * A later start of that endpoint has lost it.
    */
   boolean isPassedOnTo(LogCopy other) {
-    return draining && address.equals(other.address) && !endpoint.equals(other.endpoint);
+    boolean isFirst =
+        successorStartedAtMillis == 0 || successorStartedAtMillis == other.startedAtMillis;
+    return draining && isFirst && address.equals(other.address) && !endpoint.equals(other.endpoint);
   }
 }
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryReplacement.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryReplacement.java
@@ -220,7 +220,8 @@
         if (!canWait(choice)) {
           return false;
         }
-        dependencies.sleeper().sleep(mayWait ? STATUS_POLL_INTERVAL : LONG_STATUS_POLL_INTERVAL);
+        boolean waitsLong = !mayWait && choice.mayLackCommits();
+        dependencies.sleeper().sleep(waitsLong ? LONG_STATUS_POLL_INTERVAL : STATUS_POLL_INTERVAL);
         continue;
       }
       if (!ensureRecentClaim()) {
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PromotionChoice.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PromotionChoice.java
@@ -30,16 +30,20 @@
  * stayed for so long.
  */
 final class PromotionChoice {
+  /** Longer than an entry is listed that its endpoint no longer writes. */
+  static final Duration ENTRY_LIFETIME = Duration.ofMillis(4_500);
+
   /** Orders endpoints whose logs suffice: one that drains has to be replaced again soon. */
   private static final Comparator<Candidate> BY_STATE_LOG_POSITION_AND_UPTIME =
       Comparator.comparing((Candidate candidate) -> !candidate.entry().draining())
           .thenComparing(Candidate.BY_LOG_POSITION_AND_UPTIME);
 
-  /** Longer than an entry is listed that its endpoint no longer writes. */
-  static final Duration ENTRY_LIFETIME = Duration.ofMillis(4_500);
-
   private final IntSupplier synchronousReplicas;
   private final Optional<EndpointId> primary;
+
+  /** Whether the group had synchronous replicas when its copies were recorded. */
+  private final boolean wasSynchronous;
+
   private LogCopies copies;
   private List<LogCopy> listed = List.of();
   private final List<Report> reports = new ArrayList<>();
@@ -59,6 +63,7 @@
   PromotionChoice(IntSupplier synchronousReplicas, Optional<EndpointId> primary, LogCopies copies) {
     this.synchronousReplicas = synchronousReplicas;
     this.primary = primary;
+    this.wasSynchronous = copies.areKept();
     this.copies = copies;
   }
 
@@ -67,6 +72,7 @@
     primaryEnd = Optional.of(end);
   }
 
+  /** Returns whether the end of the primary's log is known. */
   boolean isPrimaryFenced() {
     return primaryEnd.isPresent();
   }
@@ -186,7 +192,7 @@
   /** Logs what an operator has given up by a number of zero synchronous replicas. */
   void logGivenUp(GroupId group, Candidate chosen) {
     boolean proven = silent().isEmpty() && includesAll(chosen);
-    if (synchronousReplicas.getAsInt() == 0 && copies.areKept() && !proven) {
+    if (synchronousReplicas.getAsInt() == 0 && wasSynchronous && !proven) {
       Logger.warn(
           "{}: promoting {} at log position {} without proof, since the configuration has no"
               + " synchronous replicas any longer; acknowledged commits that only {} have, and"
--- a/serving/src/test/java/org/mimosacleat/serving/peer/RelayCodecTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/peer/RelayCodecTest.java
@@ -115,7 +115,8 @@
   private static LogCopies copies() throws IOException {
     InetAddress address = InetAddress.getByAddress(new byte[] {10, 1, 0, (byte) 200});
     LogCopy copy =
-        new LogCopy(new EndpointId("i-1"), new InetSocketAddress(address, 7_440), 1_700, true);
+        new LogCopy(
+            new EndpointId("i-1"), new InetSocketAddress(address, 7_440), 1_700, true, 1_800);
     return new LogCopies(Set.of(copy), POSITION, true);
   }
 
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/AcknowledgedCommitsExplorationTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/AcknowledgedCommitsExplorationTest.java
@@ -221,7 +221,7 @@
   private static LogCopies allDraining(LogCopies copies) {
     Set<LogCopy> all = new LinkedHashSet<>();
     for (LogCopy copy : copies.copies()) {
-      all.add(new LogCopy(copy.endpoint(), copy.address(), copy.startedAtMillis(), true));
+      all.add(new LogCopy(copy.endpoint(), copy.address(), copy.startedAtMillis(), true, 0));
     }
     return new LogCopies(all, copies.required(), copies.complete());
   }
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryRecordsTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryRecordsTest.java
@@ -144,7 +144,7 @@
 
   private static LogCopy copy(String endpoint, long startedAt, boolean draining) {
     InetSocketAddress address = InetSocketAddress.createUnresolved(endpoint, 1);
-    return new LogCopy(new EndpointId(endpoint), address, startedAt, draining);
+    return new LogCopy(new EndpointId(endpoint), address, startedAt, draining, 0);
   }
 
   private static RecordedPrimary recorded(PrimaryRecord record, long era, long version) {
