Believe a successor only if it knows the present term, and record copies while the primary is in trouble

Cause of the loss: a successor started again before any proxy had recorded its first start, and received a part of the log from a former primary. Its log then knows an earlier term only; a log of the present term can't be there. Cause of the wait: an endpoint drained while the primary was in trouble and not yet replaced; its copy was not recorded as draining, so its successor was not believed.

Now both are heeded.

--- a/serving/src/main/java/org/mimosacleat/serving/promotion/GroupFailoverController.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/GroupFailoverController.java
@@ -122,12 +122,15 @@
       reason.ifPresent(_ -> usePrimaryOfLaterTerm(statusPoller.pollAll(), record.term()));
       return;
     }
-    if (!trouble.isSeen(record, reason)) {
+    boolean isTroubled = trouble.isSeen(record, reason);
+    if (!isTroubled) {
       primaryLastListedAt = dependencies.clock().instant();
-      copyKeeper.keep(recorded);
+    }
+    if (copyKeeper.keep(recorded)) {
+      pendingEvaluations.offer(reason);
       return;
     }
-    if (!trouble.isForThisProxy()) {
+    if (!isTroubled || !trouble.isForThisProxy()) {
       return;
     }
     Optional<EndpointEntry> primary = record.primary().flatMap(dependencies::findEndpoint);
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/LogCopyKeeper.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/LogCopyKeeper.java
@@ -34,23 +34,29 @@
     this.statusPoller = new GroupStatusPoller(group, dependencies);
   }
 
-  /** Writes the copies again if they have changed and this proxy is a gateway of the group. */
-  void keep(RecordedPrimary recorded) {
+  /**
+   * Writes the copies again if they have changed and this proxy is a gateway of the group.
+   *
+   * @return whether they have changed, so that the record is no longer the latest one
+   */
+  boolean keep(RecordedPrimary recorded) {
     if (!dependencies.isGateway().test(group) || !recorded.isConfirmed()) {
-      return;
+      return false;
     }
     LogCopies known = recorded.record().copies();
     boolean synchronous = dependencies.synchronousReplicas(group) > 0;
     if (!synchronous && !known.areKept()) {
-      return;
+      return false;
     }
     LogCopies next = synchronous ? update(recorded) : LogCopies.NONE;
-    if (!next.equals(known)) {
-      dependencies.sleepRandomly(MAX_START_DELAY);
-      if (!dependencies.hasChanged(recorded)) {
-        write(recorded, next);
-      }
+    if (next.equals(known)) {
+      return false;
+    }
+    dependencies.sleepRandomly(MAX_START_DELAY);
+    if (!dependencies.hasChanged(recorded)) {
+      write(recorded, next);
     }
+    return dependencies.hasChanged(recorded);
   }
 
   private LogCopies update(RecordedPrimary recorded) {
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryReplacement.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryReplacement.java
@@ -204,7 +204,10 @@
     PrimaryRecord record = claim.record();
     PromotionChoice choice =
         new PromotionChoice(
-            () -> dependencies.synchronousReplicas(group), record.primary(), record.copies());
+            () -> dependencies.synchronousReplicas(group),
+            record.primary(),
+            record.term(),
+            record.copies());
     fencedAt.ifPresent(choice::primaryEndsAt);
     Instant catchUpEnd = dependencies.clock().instant().plus(CATCH_UP_TIMEOUT);
     while (dependencies.clock().instant().isBefore(deadline)) {
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PromotionChoice.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PromotionChoice.java
@@ -11,6 +11,7 @@
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.core.position.LogPosition;
 import org.mimosacleat.core.position.Position;
+import org.mimosacleat.core.position.Term;
 import org.mimosacleat.serving.fleet.EndpointEntry;
 import org.tinylog.Logger;
 
@@ -40,6 +41,7 @@
 
   private final IntSupplier synchronousReplicas;
   private final Optional<EndpointId> primary;
+  private final Term term;
 
   /** Whether the group had synchronous replicas when its copies were recorded. */
   private final boolean wasSynchronous;
@@ -58,11 +60,14 @@
    * @param synchronousReplicas how many endpoints other than the primary have each acknowledged
    *     commit; asked again each time, since an operator may give up commits by a lower number
    * @param primary the endpoint that is replaced
+   * @param term the term of that endpoint
    * @param copies where acknowledged commits may be, as far as it is recorded
    */
-  PromotionChoice(IntSupplier synchronousReplicas, Optional<EndpointId> primary, LogCopies copies) {
+  PromotionChoice(
+      IntSupplier synchronousReplicas, Optional<EndpointId> primary, Term term, LogCopies copies) {
     this.synchronousReplicas = synchronousReplicas;
     this.primary = primary;
+    this.term = term;
     this.wasSynchronous = copies.areKept();
     this.copies = copies;
   }
@@ -94,12 +99,17 @@
     reports.add(new Report(copy, status.received(), since));
   }
 
-  /** After a planned shutdown the next endpoint at the address has the log. */
+  /**
+   * After a planned shutdown the next endpoint at the address has the log. One that knows an
+   * earlier term only has lost it, and may have received a part from a former primary.
+   */
   private void observeSuccession(Candidate successor) {
     LogCopy next = LogCopy.of(successor.entry());
     Position received = successor.status().received();
+    boolean hasLost =
+        received.log().equals(LogPosition.START) || term.isAfter(successor.status().term());
     for (LogCopy copy : copies.copies()) {
-      if (isListed(copy) || !copy.isPassedOnTo(next) || received.log().equals(LogPosition.START)) {
+      if (hasLost || isListed(copy) || !copy.isPassedOnTo(next)) {
         continue;
       }
       put(copy, successor.status());
