One look-up of what an endpoint has now for two mutants of the generated cases

The two mutants that leave out copies looked the listed endpoint up in the same lines. Test code only; what they leave out is the same.

--- a/serving/src/test/java/org/mimosacleat/serving/promotion/AcknowledgedCommitsExplorationTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/AcknowledgedCommitsExplorationTest.java
@@ -235,23 +235,17 @@
     return record.withCopies(
         record
             .copies()
-            .without(
-                copy ->
-                    Optional.ofNullable(
-                            group.proxy.fleet.snapshot().endpoints().get(copy.endpoint()))
-                        .filter(entry -> !LogCopy.of(entry).isSameAs(copy))
-                        .isPresent()));
+            .without(copy -> listed(group, copy).filter(now -> !now.isSameAs(copy)).isPresent()));
   }
 
   private static PrimaryRecord withoutUnlisted(ReplicatedGroup group, PrimaryRecord record) {
     return record.withCopies(
-        record
-            .copies()
-            .without(
-                copy ->
-                    Optional.ofNullable(
-                            group.proxy.fleet.snapshot().endpoints().get(copy.endpoint()))
-                        .filter(entry -> LogCopy.of(entry).isSameAs(copy))
-                        .isEmpty()));
+        record.copies().without(copy -> listed(group, copy).filter(copy::isSameAs).isEmpty()));
+  }
+
+  /** Returns the copy that the endpoint of another copy has now, if it is listed. */
+  private static Optional<LogCopy> listed(ReplicatedGroup group, LogCopy copy) {
+    return Optional.ofNullable(group.proxy.fleet.snapshot().endpoints().get(copy.endpoint()))
+        .map(LogCopy::of);
   }
 }
