A commit that was given up does not keep a group with synchronous replicas without a primary

Cause: an endpoint of an earlier term, cut off from the present primary, still had a commit that no promotion had taken over. Where positions carry the term of the last commit, its position is later than that of the present primary's log if that has no commit of its own term. So the successor of the drained primary was not taken as having the whole log ("lacks what others have received"), and was waited for without end. If no copy was missing, the endpoint with that commit was promoted instead, and what the present primary had was given up.

Fix: an endpoint that does not know the primary's term has no commit of that term, and every acknowledged commit of earlier terms is before the required position. So what such an endpoint has is asked neither of those that know the term nor of the primary's successor, and it is chosen only if no other suffices. Whether a shorter log is believed still depends on all positions. A fenced primary is still compared with all of them, since its term may come from the fencing.

No change without synchronous replicas.

--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PromotionChoice.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PromotionChoice.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.IntSupplier;
+import java.util.function.Predicate;
 import org.mimosacleat.core.id.EndpointId;
 import org.mimosacleat.core.id.GroupId;
 import org.mimosacleat.core.position.LogPosition;
@@ -52,8 +53,15 @@
   private final List<LogCopy> continuous = new ArrayList<>();
   private Instant observedAt = Instant.MIN;
   private Position highest = Position.NONE;
+
+  /** The latest position of an endpoint that knows the primary's term. */
+  private Position highestOfTerm = Position.NONE;
+
   private Optional<Position> primaryEnd = Optional.empty();
 
+  /** Whether the end of the primary's log is known from a successor, which knows its term. */
+  private boolean isEndOfSuccessor;
+
   /**
    * Creates a choice that has heard no endpoint.
    *
@@ -88,6 +96,8 @@
     listed = present.stream().map(LogCopy::of).toList();
     copies = copies.with(listed);
     highest = Position.latest(highest, latest(answered));
+    List<Candidate> ofTerm = answered.stream().filter(this::knowsTerm).toList();
+    highestOfTerm = Position.latest(highestOfTerm, latest(ofTerm));
     answered.forEach(candidate -> put(LogCopy.of(candidate.entry()), candidate.status()));
     answered.forEach(this::observeSuccession);
   }
@@ -106,8 +116,7 @@
   private void observeSuccession(Candidate successor) {
     LogCopy next = LogCopy.of(successor.entry());
     Position received = successor.status().received();
-    boolean hasLost =
-        received.log().equals(LogPosition.START) || term.isAfter(successor.status().term());
+    boolean hasLost = received.log().equals(LogPosition.START) || !knowsTerm(successor);
     for (LogCopy copy : copies.copies()) {
       if (hasLost || isListed(copy) || !copy.isPassedOnTo(next)) {
         continue;
@@ -115,6 +124,7 @@
       put(copy, successor.status());
       if (isOfPrimary(copy) && primaryEnd.isEmpty()) {
         primaryEnd = Optional.of(received);
+        isEndOfSuccessor = true;
       }
     }
   }
@@ -156,9 +166,7 @@
     if (!synchronous) {
       return bestIncluding(selectable, latest(selectable));
     }
-    return mayLackCommits()
-        ? Optional.empty()
-        : selectable.stream().filter(this::includesAll).max(BY_STATE_LOG_POSITION_AND_UPTIME);
+    return mayLackCommits() ? Optional.empty() : best(selectable, this::includesAll);
   }
 
   /**
@@ -168,13 +176,23 @@
   private boolean isPrimaryEndCertain() {
     return primaryEnd
         .filter(end -> LogCopies.includes(end, copies.required()))
-        .filter(end -> end.includes(highest) && !end.log().equals(LogPosition.START))
+        .filter(end -> end.includes(isEndOfSuccessor ? highestOfTerm : highest))
+        .filter(end -> !end.log().equals(LogPosition.START))
         .isPresent();
   }
 
   private boolean includesAll(Candidate candidate) {
     Position received = candidate.status().received();
-    return received.includes(highest) && LogCopies.includes(received, copies.required());
+    Position heard = knowsTerm(candidate) ? highestOfTerm : highest;
+    return received.includes(heard) && LogCopies.includes(received, copies.required());
+  }
+
+  /**
+   * Returns whether an endpoint knows the primary's term. One that does not has no commit of that
+   * term, and perhaps some that were given up with an earlier one.
+   */
+  private boolean knowsTerm(Candidate candidate) {
+    return !term.isAfter(candidate.status().term());
   }
 
   /**
@@ -234,10 +252,16 @@
         .reduce(Position.NONE, Position::latest);
   }
 
-  private static Optional<Candidate> bestIncluding(List<Candidate> selectable, Position needed) {
+  private Optional<Candidate> bestIncluding(List<Candidate> selectable, Position needed) {
+    return best(selectable, candidate -> candidate.status().received().includes(needed));
+  }
+
+  private Optional<Candidate> best(List<Candidate> selectable, Predicate<Candidate> suffices) {
     return selectable.stream()
-        .filter(candidate -> candidate.status().received().includes(needed))
-        .max(BY_STATE_LOG_POSITION_AND_UPTIME);
+        .filter(suffices)
+        .max(
+            Comparator.comparing((Candidate candidate) -> wasSynchronous && knowsTerm(candidate))
+                .thenComparing(BY_STATE_LOG_POSITION_AND_UPTIME));
   }
 
   /** What an endpoint has reported of its log last, and when it did first. */
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/AcknowledgedCommitsTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/AcknowledgedCommitsTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.mimosacleat.serving.fleet.EndpointRole;
 import org.mimosacleat.serving.fleet.Teams;
 
 /**
@@ -191,6 +192,58 @@
     assertEquals(0, group.lostCommits);
   }
 
+  /**
+   * Ends with a commit that was given up at the former primary, which is back without following.
+   */
+  private void replacePrimaryThatHasAnUnacknowledgedCommit() {
+    group.reportsTermOfCommit = true;
+    behind.receives = true;
+    write();
+    complete.receives = false;
+    behind.receives = false;
+    group.write();
+    group.crash(primary);
+    evaluate(SHORT_WAIT);
+    ReplicatedNode next = group.recordedPrimary().orElseThrow();
+    assertEquals(List.of(next.id), group.promoted);
+    primary.receives = false;
+    group.comeBack(primary);
+    primary.role = EndpointRole.REPLICA;
+    complete.receives = true;
+    behind.receives = true;
+    evaluate(4);
+  }
+
+  /** Found by generated cases (seeds 121 and 151): nobody was promoted, although all were back. */
+  @Test
+  void successorOfDrainedPrimaryEndsTheWaitAlthoughAnotherHasCommitThatWasGivenUp() {
+    replacePrimaryThatHasAnUnacknowledgedCommit();
+    ReplicatedNode second = group.recordedPrimary().orElseThrow();
+    ReplicatedNode third = second == complete ? behind : complete;
+    third.reachable = false;
+    drain(second);
+    group.exit(second);
+    evaluate(SHORT_WAIT);
+
+    ReplicatedNode successor = group.succeed(second);
+    evaluate(SHORT_WAIT);
+
+    assertEquals(successor.id, group.promoted.getLast());
+    assertEquals(0, group.lostCommits);
+  }
+
+  @Test
+  void commitThatWasGivenUpDoesNotMakeItsEndpointPrimary() {
+    replacePrimaryThatHasAnUnacknowledgedCommit();
+    ReplicatedNode second = group.recordedPrimary().orElseThrow();
+    ReplicatedNode third = second == complete ? behind : complete;
+    group.crash(second);
+    evaluate(SHORT_WAIT);
+
+    assertEquals(List.of(second.id, third.id), group.promoted);
+    assertEquals(0, group.lostCommits);
+  }
+
   @Test
   void replicaThatIsBackEndsTheWait() {
     write();
