--- a/serving/src/main/java/org/mimosacleat/serving/promotion/FailoverDependencies.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/FailoverDependencies.java
@@ -1,5 +1,6 @@
 package org.mimosacleat.serving.promotion;
 
+import io.vavr.control.Either;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Optional;
@@ -17,6 +18,7 @@
 import org.mimosacleat.serving.fleet.GroupSettings;
 import org.mimosacleat.serving.routing.GroupStates;
 import org.mimosacleat.serving.version.StoreEras;
+import org.mimosacleat.serving.version.StoreVersion;
 
 /**
  * Dependencies shared by the failover controllers of all groups.
@@ -87,6 +89,19 @@
         .orElse(0);
   }
 
+  /** Returns whether commits of a group are acknowledged only once others have them. */
+  boolean hasSynchronousReplicas(GroupId group) {
+    return synchronousReplicas(group) > 0;
+  }
+
+  /** Writes a record over a version of it, and remembers it as the newest one. */
+  Either<RecordFailure, RecordedPrimary> write(PrimaryRecord next, StoreVersion version) {
+    return sharedRecords
+        .writePrimary(next, version)
+        .map(written -> new RecordedPrimary(next, written))
+        .peek(records::put);
+  }
+
   /** Returns the entry of an endpoint that is listed. */
   Optional<EndpointEntry> findEndpoint(EndpointId id) {
     return Optional.ofNullable(fleet.snapshot().endpoints().get(id));
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/FirstRecordWriter.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/FirstRecordWriter.java
@@ -54,9 +54,6 @@
             0,
             Optional.empty(),
             confirmation.get());
-    dependencies
-        .sharedRecords()
-        .writePrimary(first, StoreVersion.absent(confirmation.get().era()))
-        .peek(version -> dependencies.records().put(new RecordedPrimary(first, version)));
+    dependencies.write(first, StoreVersion.absent(confirmation.get().era()));
   }
 }
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/GroupStatusPoller.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/GroupStatusPoller.java
@@ -25,6 +25,16 @@
     return dependencies.fleet().snapshot().endpointsOf(group);
   }
 
+  /** Returns the copies of the log that the listed endpoints have. */
+  List<LogCopy> listedCopies() {
+    return listed().stream().map(LogCopy::of).toList();
+  }
+
+  /** Returns those of some endpoints that answer, in the given order. */
+  List<Candidate> poll(List<EndpointEntry> entries) {
+    return statusPoller.poll(entries);
+  }
+
   /** Returns all endpoints that answer. */
   List<Candidate> pollAll() {
     return statusPoller.poll(listed());
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/LogCopyKeeper.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/LogCopyKeeper.java
@@ -44,7 +44,7 @@
       return false;
     }
     LogCopies known = recorded.record().copies();
-    boolean synchronous = dependencies.synchronousReplicas(group) > 0;
+    boolean synchronous = dependencies.hasSynchronousReplicas(group);
     if (!synchronous && !known.areKept()) {
       return false;
     }
@@ -61,7 +61,7 @@
 
   private LogCopies update(RecordedPrimary recorded) {
     LogCopies known = recorded.record().copies();
-    List<LogCopy> listed = statusPoller.listed().stream().map(LogCopy::of).toList();
+    List<LogCopy> listed = statusPoller.listedCopies();
     List<LogCopy> ended = ended(known, listed);
     LogCopies next = known.with(listed);
     if (known.areKept() && ended.isEmpty()) {
@@ -113,15 +113,9 @@
   }
 
   private void write(RecordedPrimary recorded, LogCopies copies) {
-    PrimaryRecord next = recorded.record().withCopies(copies);
     dependencies
-        .sharedRecords()
-        .writePrimary(next, recorded.version())
-        .peek(
-            version -> {
-              Logger.info("{}: recorded the copies of the log: {}", group, copies);
-              dependencies.records().put(new RecordedPrimary(next, version));
-            })
+        .write(recorded.record().withCopies(copies), recorded.version())
+        .peek(_ -> Logger.info("{}: recorded the copies of the log: {}", group, copies))
         .peekLeft(
             failure ->
                 Logger.info("{}: the copies of the log could not be recorded: {}", group, failure));
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryReplacement.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PrimaryReplacement.java
@@ -15,7 +15,6 @@
 import org.mimosacleat.core.position.Term;
 import org.mimosacleat.serving.feed.ClockReading;
 import org.mimosacleat.serving.fleet.EndpointEntry;
-import org.mimosacleat.serving.version.StoreVersion;
 import org.tinylog.Logger;
 
 /**
@@ -62,7 +61,7 @@
 
   private final FailoverDependencies dependencies;
   private final GroupId group;
-  private final EndpointStatusPoller statusPoller;
+  private final GroupStatusPoller statusPoller;
   private final EndpointUptime uptime;
   private final Set<EndpointId> refusedEndpoints = new HashSet<>();
   private RecordedPrimary claim;
@@ -77,8 +76,7 @@
     this.group = recorded.record().group();
     this.claim = recorded;
     this.users = new PrimaryUsers(dependencies, group);
-    this.statusPoller =
-        new EndpointStatusPoller(dependencies.administration(), dependencies.executor());
+    this.statusPoller = new GroupStatusPoller(group, dependencies);
     this.uptime = new EndpointUptime(dependencies.pools(), dependencies.clock());
   }
 
@@ -108,29 +106,25 @@
    * later holder neither misses one nor waits for one that has none.
    */
   private boolean completeCopies() {
-    if (dependencies.synchronousReplicas(group) == 0 || claim.record().copies().complete()) {
+    if (!dependencies.hasSynchronousReplicas(group) || claim.record().copies().complete()) {
       return true;
     }
-    LogCopies copies = claim.record().copies().with(listedCopies()).asComplete(true);
+    LogCopies copies = claim.record().copies().with(statusPoller.listedCopies()).asComplete(true);
     return write(claim.record().withCopies(copies));
   }
 
-  private List<LogCopy> listedCopies() {
-    return dependencies.fleet().snapshot().endpointsOf(group).stream().map(LogCopy::of).toList();
-  }
-
   /** Claims the replacement or renews the claim; returns false if another proxy has claimed it. */
   private boolean claim(boolean planned) {
     PrimaryRecord next =
         claim.record().withReplacement(new Replacement(dependencies.self(), planned));
-    boolean synchronous = dependencies.synchronousReplicas(group) > 0;
-    return write(synchronous ? next.withCopies(next.copies().with(listedCopies())) : next);
+    boolean synchronous = dependencies.hasSynchronousReplicas(group);
+    return write(
+        synchronous ? next.withCopies(next.copies().with(statusPoller.listedCopies())) : next);
   }
 
   private boolean write(PrimaryRecord next) {
     final ClockReading sentAt = dependencies.now();
-    Either<RecordFailure, StoreVersion> written =
-        dependencies.sharedRecords().writePrimary(next, claim.version());
+    Either<RecordFailure, RecordedPrimary> written = dependencies.write(next, claim.version());
     if (written.isLeft()) {
       Logger.info(
           "{}: could not claim the replacement in the shared record of version {}: {}",
@@ -139,10 +133,9 @@
           written.getLeft());
       return false;
     }
-    claim = new RecordedPrimary(next, written.get());
+    claim = written.get();
     claimedAt = sentAt;
     refusedEndpoints.clear();
-    dependencies.records().put(claim);
     return true;
   }
 
@@ -241,7 +234,7 @@
    * has every commit that it has acknowledged.
    */
   private List<Candidate> poll(PromotionChoice choice, boolean mayWait) {
-    List<EndpointEntry> listed = dependencies.fleet().snapshot().endpointsOf(group);
+    List<EndpointEntry> listed = statusPoller.listed();
     List<EndpointEntry> others =
         listed.stream()
             .filter(entry -> !claim.record().primary().equals(Optional.of(entry.id())))
@@ -254,7 +247,7 @@
         .filter(entry -> uptime.hasRunFor(PromotionChoice.ENTRY_LIFETIME, entry))
         .forEach(choice::confirmUptime);
     boolean misses =
-        dependencies.synchronousReplicas(group) > 0
+        dependencies.hasSynchronousReplicas(group)
             && !mayWait
             && choice.choose(selectable(candidates), false).isEmpty();
     return others.isEmpty() || (misses && isOldPrimaryDue(choice))
@@ -304,8 +297,8 @@
   /** Records copies that have begun to drain: a later holder has to know their successors. */
   private boolean recordCopies() {
     LogCopies known = claim.record().copies();
-    return dependencies.synchronousReplicas(group) == 0
-        || known.with(listedCopies()).equals(known)
+    return !dependencies.hasSynchronousReplicas(group)
+        || known.with(statusPoller.listedCopies()).equals(known)
         || claim(claim.record().replacement().orElseThrow().planned());
   }
 
@@ -353,22 +346,20 @@
   }
 
   private boolean recordPrimary(Candidate newPrimary) {
-    Term term = newPrimary.status().term();
+    final EndpointId next = newPrimary.entry().id();
+    final Term term = newPrimary.status().term();
     final Optional<EndpointEntry> old = oldPrimary();
-    PrimaryRecord updated =
-        claim.record().withPrimary(newPrimary.entry().id(), term, newPrimary.status().received());
-    Either<RecordFailure, StoreVersion> written =
-        dependencies.sharedRecords().writePrimary(updated, claim.version());
-    written
-        .peek(version -> dependencies.records().put(new RecordedPrimary(updated, version)))
-        .peekLeft(
-            failure -> Logger.warn("{}: could not record the new primary: {}", group, failure));
-    if (written.isRight()) {
-      Logger.info("{}: recorded {} as primary of term {}", group, newPrimary.entry().id(), term);
-    }
-    old.filter(entry -> !entry.id().equals(newPrimary.entry().id()))
+    PrimaryRecord updated = claim.record().withPrimary(next, term, newPrimary.status().received());
+    boolean written =
+        dependencies
+            .write(updated, claim.version())
+            .peek(_ -> Logger.info("{}: recorded {} as primary of term {}", group, next, term))
+            .peekLeft(
+                failure -> Logger.warn("{}: could not record the new primary: {}", group, failure))
+            .isRight();
+    old.filter(entry -> !entry.id().equals(next))
         .ifPresent(entry -> dependencies.executor().execute(() -> fenceInBackground(entry, term)));
-    return written.isRight();
+    return written;
   }
 
   /**
@@ -386,7 +377,7 @@
   }
 
   private Optional<EndpointEntry> oldPrimary() {
-    return claim.record().primary().map(id -> dependencies.fleet().snapshot().endpoints().get(id));
+    return claim.record().primary().flatMap(dependencies::findEndpoint);
   }
 
   /** Adds the old primary, if it answers: it has every commit that it has acknowledged. */
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/RecordRecovery.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/RecordRecovery.java
@@ -91,9 +91,7 @@
         recorded.version(),
         confirmation);
     return dependencies
-            .sharedRecords()
-            .writePrimary(next, recorded.version())
-            .peek(version -> dependencies.records().put(new RecordedPrimary(next, version)))
+            .write(next, recorded.version())
             .peekLeft(
                 failure ->
                     Logger.info("{}: the record could not be written again: {}", group, failure))
