A log that was passed on twice, or to the primary, is not missed for ever; a successor's report is proven by its own entry

Causes, three, each in what counts as heard: - A drained endpoint's successor drained in its turn while a primary was looked for. Only the first successor's start was believed. Now a successor that drains passes the log on; the start of the next one is recorded. - A shorter log counts once its entry has stayed for 4.5 s; for a successor's report the entry of the drained endpoint was looked for, which has gone. Now its own entry, or an older connection to it, is the proof. - An endpoint that had taken the log of a drained one over was promoted. If it was then lost, that of the drained one was missed too, although the primary had had all of it.

No change without synchronous replicas.

--- a/serving/src/main/java/org/mimosacleat/serving/promotion/LogCopy.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/LogCopy.java
@@ -15,7 +15,8 @@
  * @param startedAtMillis its start in milliseconds, by its own wall clock; zero if unknown
  * @param draining whether it was last known to be about to shut down, after which the next endpoint
  *     at its address has its log
- * @param successorStartedAtMillis the start of that endpoint; zero if none has been seen
+ * @param successorStartedAtMillis the start of that endpoint; zero if none has been seen, or if it
+ *     drains in its turn
  */
 public record LogCopy(
     EndpointId endpoint,
@@ -54,12 +55,16 @@
     return new LogCopy(endpoint, address, startedAtMillis, draining || other.draining, successor);
   }
 
-  /** Returns this copy, whose endpoint is no longer listed, with its successor if that is. */
+  /**
+   * Returns this copy, whose endpoint is no longer listed, with its successor if that is. One that
+   * drains passes the log on in its turn, to an endpoint that has not been seen yet.
+   */
   LogCopy succeededBy(List<LogCopy> listed) {
     return listed.stream()
         .filter(this::isPassedOnTo)
         .findFirst()
-        .map(next -> new LogCopy(endpoint, address, startedAtMillis, true, next.startedAtMillis))
+        .map(next -> next.draining ? 0 : next.startedAtMillis)
+        .map(start -> new LogCopy(endpoint, address, startedAtMillis, true, start))
         .orElse(this);
   }
 
--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PromotionChoice.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PromotionChoice.java
@@ -98,15 +98,17 @@
     highest = Position.latest(highest, latest(answered));
     List<Candidate> ofTerm = answered.stream().filter(this::knowsTerm).toList();
     highestOfTerm = Position.latest(highestOfTerm, latest(ofTerm));
-    answered.forEach(candidate -> put(LogCopy.of(candidate.entry()), candidate.status()));
+    answered.forEach(candidate -> put(LogCopy.of(candidate.entry()), candidate));
     answered.forEach(this::observeSuccession);
   }
 
-  private void put(LogCopy copy, EndpointStatus status) {
+  private void put(LogCopy copy, Candidate candidate) {
+    LogCopy source = LogCopy.of(candidate.entry());
     Optional<Report> before = reports.stream().filter(report -> report.isOf(copy)).findFirst();
     before.ifPresent(reports::remove);
-    Instant since = before.map(Report::since).orElse(observedAt);
-    reports.add(new Report(copy, status.received(), since));
+    Instant since =
+        before.filter(report -> report.isFrom(source)).map(Report::since).orElse(observedAt);
+    reports.add(new Report(copy, source, candidate.status().received(), since));
   }
 
   /**
@@ -121,8 +123,8 @@
       if (hasLost || isListed(copy) || !copy.isPassedOnTo(next)) {
         continue;
       }
-      put(copy, successor.status());
-      if (isOfPrimary(copy) && primaryEnd.isEmpty()) {
+      put(copy, successor);
+      if (isPrimary(copy) && primaryEnd.isEmpty()) {
         primaryEnd = Optional.of(received);
         isEndOfSuccessor = true;
       }
@@ -131,8 +133,11 @@
 
   /** Returns whether it would help to know that an endpoint that answered has run for long. */
   boolean isInDoubt(Candidate candidate) {
-    LogCopy copy = LogCopy.of(candidate.entry());
-    return synchronousReplicas.getAsInt() > 0 && copies.find(copy).isPresent() && !isHeard(copy);
+    LogCopy source = LogCopy.of(candidate.entry());
+    return synchronousReplicas.getAsInt() > 0
+        && reports.stream()
+            .filter(report -> report.isFrom(source) && copies.find(report.copy()).isPresent())
+            .anyMatch(report -> !isReliable(report));
   }
 
   /** Records that an endpoint had run for {@link #ENTRY_LIFETIME} when it answered. */
@@ -140,12 +145,12 @@
     continuous.add(LogCopy.of(entry));
   }
 
-  /** Returns whether a report is about the copy itself, and not about a later one. */
+  /** Returns whether a report is of the start that is listed, and not of a later one. */
   private boolean isReliable(Report report) {
     boolean isComplete = report.received().includes(highest);
-    boolean hasRun = continuous.stream().anyMatch(report::isOf);
+    boolean hasRun = continuous.stream().anyMatch(report::isFrom);
     boolean stayed = !observedAt.isBefore(report.since().plus(ENTRY_LIFETIME));
-    return isComplete || hasRun || (stayed && isListed(report.copy()));
+    return isComplete || hasRun || (stayed && isListed(report.source()));
   }
 
   /**
@@ -242,7 +247,15 @@
     return listed.stream().anyMatch(copy::isSameAs);
   }
 
+  /** Returns whether the primary has, or had at its start, all that a copy has. */
   private boolean isOfPrimary(LogCopy copy) {
+    return isPrimary(copy)
+        || copies.copies().stream()
+            .filter(this::isPrimary)
+            .anyMatch(own -> copy.isPassedOnTo(own) && !own.isPassedOnTo(copy));
+  }
+
+  private boolean isPrimary(LogCopy copy) {
     return primary.equals(Optional.of(copy.endpoint()));
   }
 
@@ -264,10 +277,17 @@
                 .thenComparing(BY_STATE_LOG_POSITION_AND_UPTIME));
   }
 
-  /** What an endpoint has reported of its log last, and when it did first. */
-  private record Report(LogCopy copy, Position received, Instant since) {
+  /**
+   * What an endpoint, or the one that has taken its log over, has reported last, and when that one
+   * did first.
+   */
+  private record Report(LogCopy copy, LogCopy source, Position received, Instant since) {
     boolean isOf(LogCopy other) {
       return copy.isSameAs(other);
     }
+
+    boolean isFrom(LogCopy other) {
+      return source.isSameAs(other);
+    }
   }
 }
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/AcknowledgedCommitsExplorationTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/AcknowledgedCommitsExplorationTest.java
@@ -177,7 +177,7 @@
 
   /** With the logs of all back, nobody waits for a copy that is not needed. */
   @ParameterizedTest
-  @ValueSource(longs = {1, 2, 3, 121, 151})
+  @ValueSource(longs = {1, 2, 3, 121, 143, 151, 163, 255})
   void groupHasPrimaryOnceAllLogsAreBack(long seed) {
     assertEquals(0, play(seed, false).withoutPrimary());
   }
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/AcknowledgedCommitsTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/AcknowledgedCommitsTest.java
@@ -244,6 +244,28 @@
     assertEquals(0, group.lostCommits);
   }
 
+  /** Found by generated cases (seeds 143 and 163): only the first successor was believed. */
+  @Test
+  void successorOfSuccessorOfDrainedPrimaryEndsTheWait() {
+    write();
+    complete.reachable = false;
+    drain(primary);
+    group.exit(primary);
+    ReplicatedNode first = group.succeed(primary);
+    first.reachable = false;
+    evaluate(SHORT_WAIT);
+    drain(first);
+    evaluate(SHORT_WAIT);
+    group.exit(first);
+    evaluate(SHORT_WAIT);
+
+    ReplicatedNode second = group.succeed(first);
+    evaluate(SHORT_WAIT);
+
+    assertEquals(second.id, group.promoted.getLast());
+    assertEquals(0, group.lostCommits);
+  }
+
   @Test
   void replicaThatIsBackEndsTheWait() {
     write();
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/PromotionChoiceTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/PromotionChoiceTest.java
@@ -246,6 +246,37 @@
     assertEquals(Optional.of("c"), chosen(choice, false, first, second));
   }
 
+  /** Found by generated cases (seed 255): its own entry stays, that of the drained one has gone. */
+  @Test
+  void successorWithShorterLogAnswersForDrainedEndpointOnceItsEntryHasStayed() {
+    PromotionChoice choice = choice(1, Optional.empty());
+    choice.observe(List.of(ahead.entry(true), behind.entry()), List.of(), clock.instant());
+    Candidate successor = candidate(withId("c", ahead.entry()), ahead);
+    behind.number = 11;
+    Candidate longer = candidate(behind.entry(), behind);
+    List<EndpointEntry> listed = List.of(successor.entry(), longer.entry());
+    choice.observe(listed, List.of(successor, longer), clock.instant());
+
+    assertEquals(Optional.empty(), chosen(choice, false, successor, longer));
+    observe(choice, listed, successor, longer);
+    assertEquals(Optional.of("b"), chosen(choice, false, successor, longer));
+  }
+
+  /** Found by generated cases (seed 255): the primary had taken that log over. */
+  @Test
+  void copyThatThePrimaryHasTakenOverIsNotMissed() {
+    FakeEndpoint primary = new FakeEndpoint("p", EndpointRole.PRIMARY, 5);
+    EndpointEntry present = withId("p", ahead.entry());
+    PromotionChoice choice =
+        new PromotionChoice(() -> 1, Optional.of(primary.id()), new Term(1), LogCopies.NONE);
+    choice.observe(List.of(ahead.entry(true), behind.entry()), List.of(), clock.instant());
+    choice.observe(List.of(present, behind.entry()), List.of(), clock.instant());
+    Candidate answered = candidate(behind.entry(), behind);
+    observe(choice, List.of(behind.entry()), answered);
+
+    assertEquals(Optional.of("b"), chosen(choice, false, answered));
+  }
+
   /** Found by generated cases: it had lost the log, and received a part from a former primary. */
   @Test
   void successorThatKnowsAnEarlierTermOnlyDoesNotAnswerForDrainedEndpoint() {
