The longest log is believed only of an endpoint that is known not to have started again

What callers would have seen (found while reading, shown by a test; nobody has reported it): 10 of 20 acknowledged writes lost. A replica that had acknowledged them starts again without its log, is listed with its earlier start for three heartbeats, and receives a part of the log again; then the primary is lost. If the other replicas lag still more, its log is the longest of all.

Cause: a shorter log needed a proof that its endpoint had not started again, the longest one did not: it counted as heard at once, and so nobody was missed.

Fix: no report counts without that proof: a connection opened more than 4.5 s before that still answers, or an entry that has stayed for 4.5 s. A proxy that watches a group has such connections to its replicas, those that drain included.

Tests: nobodyIsPromotedAfterReplicaHasStartedAgainUnseen with a part of the log failed before (n1 promoted); mostAdvancedEndpointThatMayHaveStartedAgainIsWaitedFor is new. Two tests held the fault for right and were replaced by stricter ones: endpointsThatAreKnownToHaveRunDelayNothing now needs an older connection to both endpoints, not to the shorter log alone; silentEndpointIsAwaitedWhetherOrNotItIsListed observes the answering endpoint for 4.5 s before it expects it to be heard.

No change without synchronous replicas.

--- a/serving/src/main/java/org/mimosacleat/serving/promotion/PromotionChoice.java
+++ b/serving/src/main/java/org/mimosacleat/serving/promotion/PromotionChoice.java
@@ -27,9 +27,9 @@
  * Without synchronous replicas the most advanced endpoint that answers is chosen.
  *
  * <p>An endpoint that has started again reports a shorter log, perhaps before its entry shows the
- * new start. So one that reports less than another counts as heard only if it is known to have run
- * for longer than an entry is listed that its endpoint no longer writes, or once its entry has
- * stayed for so long.
+ * new start, and perhaps the longest of all if the others lag more. So an endpoint counts as heard
+ * only if it is known to have run for longer than an entry is listed that its endpoint no longer
+ * writes, or once its entry has stayed for so long.
  */
 final class PromotionChoice {
   /** Longer than an entry is listed that its endpoint no longer writes. */
@@ -147,10 +147,9 @@
 
   /** Returns whether a report is of the start that is listed, and not of a later one. */
   private boolean isReliable(Report report) {
-    boolean isComplete = report.received().includes(highest);
     boolean hasRun = continuous.stream().anyMatch(report::isFrom);
     boolean stayed = !observedAt.isBefore(report.since().plus(ENTRY_LIFETIME));
-    return isComplete || hasRun || (stayed && isListed(report.source()));
+    return hasRun || (stayed && isListed(report.source()));
   }
 
   /**
--- a/serving/src/test/java/org/mimosacleat/serving/FakeDialer.java
+++ b/serving/src/test/java/org/mimosacleat/serving/FakeDialer.java
@@ -23,6 +23,11 @@
     }
   }
 
+  /** Adds an endpoint that can be reached from now on. */
+  public void add(FakeEndpoint endpoint) {
+    endpoints.put(endpoint.id(), endpoint);
+  }
+
   @Override
   public Either<Failure, EndpointConnection> dial(EndpointEntry entry, Optional<TeamId> team) {
     FakeEndpoint endpoint = endpoints.get(entry.id());
--- a/serving/src/test/java/org/mimosacleat/serving/ServingFixture.java
+++ b/serving/src/test/java/org/mimosacleat/serving/ServingFixture.java
@@ -20,7 +20,6 @@
 import org.mimosacleat.serving.drain.DrainTimes;
 import org.mimosacleat.serving.endpoint.ConnectionShare;
 import org.mimosacleat.serving.endpoint.EndpointConnection;
-import org.mimosacleat.serving.endpoint.EndpointDialer;
 import org.mimosacleat.serving.endpoint.EndpointPools;
 import org.mimosacleat.serving.fleet.ApiKey;
 import org.mimosacleat.serving.fleet.Configuration;
@@ -76,7 +75,7 @@
   /** The teams for which connections were opened, in this order. */
   public final List<Optional<TeamId>> dialedTeams = new ArrayList<>();
 
-  private final EndpointDialer dialer = new FakeDialer(primary, replica);
+  public final FakeDialer dialer = new FakeDialer(primary, replica);
   public final EndpointPools pools =
       new EndpointPools(this::dial, clock, fleet, new ConnectionShare(13), _ -> true);
   public final List<String> suspicions = new ArrayList<>();
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/AcknowledgedCommitsTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/AcknowledgedCommitsTest.java
@@ -101,13 +101,15 @@
     assertEquals(List.of(), group.promoted);
   }
 
-  /** The endpoint list may show the earlier start for a while. */
-  @Test
-  void nobodyIsPromotedAfterReplicaHasStartedAgainUnseen() {
+  /** The endpoint list may show the earlier start for a while; one may have a part of its log. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, COMMITS / 2})
+  void nobodyIsPromotedAfterReplicaHasStartedAgainUnseen(int receivedAgain) {
     write();
     evaluate(4);
     final ReplicatedNode next = group.restart(complete);
     next.receives = false;
+    next.log.addAll(primary.log.subList(0, receivedAgain));
     group.publish(complete);
     behind.log.addAll(primary.log.subList(0, 1));
     group.crash(primary);
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryReplacementTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/PrimaryReplacementTest.java
@@ -52,6 +52,7 @@
 
   @BeforeEach
   void record() {
+    proxy.dialer.add(otherReplica);
     proxy.pools.put(otherReplica.entry());
     records.writePrimary(
         new PrimaryRecord(
@@ -119,16 +120,29 @@
 
   /** Guards against a wait in which a draining replica that alone has the commits ends. */
   @Test
-  void shorterLogDelaysNothingIfItsEndpointIsKnownToHaveRun() {
+  void endpointsThatAreKnownToHaveRunDelayNothing() {
     openConnection(replica);
+    openConnection(otherReplica);
     proxy.clock.advance(PromotionChoice.ENTRY_LIFETIME.plusMillis(1));
 
     assertTrue(gapWithOneReplicaBehind().toMillis() < MAX_MEDIAN_GAP_MILLIS);
   }
 
   @Test
-  void shorterLogIsWaitedForIfItsEndpointMayHaveStartedAgain() {
+  void endpointThatMayHaveStartedAgainIsWaitedFor() {
     openConnection(replica);
+    openConnection(otherReplica);
+
+    Duration gap = gapWithOneReplicaBehind();
+
+    assertTrue(gap.compareTo(PromotionChoice.ENTRY_LIFETIME) >= 0, "gap: " + gap);
+  }
+
+  /** Guards against an endpoint that has received only a part of its log since it started again. */
+  @Test
+  void mostAdvancedEndpointThatMayHaveStartedAgainIsWaitedFor() {
+    openConnection(replica);
+    proxy.clock.advance(PromotionChoice.ENTRY_LIFETIME.plusMillis(1));
 
     Duration gap = gapWithOneReplicaBehind();
 
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/PromotionChoiceTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/PromotionChoiceTest.java
@@ -227,7 +227,7 @@
     choice.observe(List.of(ahead.entry(), behind.entry()), List.of(answered), clock.instant());
 
     assertEquals(Optional.empty(), chosen(choice, false, answered));
-    choice.observe(List.of(behind.entry()), List.of(answered), clock.instant());
+    observe(choice, List.of(behind.entry()), answered);
     assertEquals(Optional.empty(), chosen(choice, false, answered));
     assertTrue(choice.missesOnlyUnlisted());
   }
