--- a/serving/src/test/java/org/mimosacleat/serving/promotion/AcknowledgedCommitsExplorationTest.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/AcknowledgedCommitsExplorationTest.java
@@ -136,7 +136,10 @@
         return;
       }
       if (random.nextInt(4) > 0) {
-        group.restart(node).receives = random.nextBoolean();
+        ReplicatedNode next =
+            random.nextBoolean() ? group.restartUnseen(node) : group.restart(node);
+        next.receives = random.nextBoolean();
+        next.commitsAtOnce = 1 + random.nextInt(3);
       } else {
         group.crash(node);
         group.start(node.id + "+", node.address.getHostString()).receives = random.nextBoolean();
@@ -167,7 +170,7 @@
   }
 
   @ParameterizedTest
-  @ValueSource(longs = {1, 2, 3})
+  @ValueSource(longs = {1, 2, 3, 14, 20})
   void acknowledgedCommitsAreInTheLogOfEachPromotedEndpoint(long seed) {
     Outcome outcome = play(seed, true);
 
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/ReplicatedGroup.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/ReplicatedGroup.java
@@ -52,11 +52,13 @@
   private final int synchronousReplicas;
   private final List<GroupFailoverController> controllers = new ArrayList<>();
   private final List<PrimaryRecords> caches = new ArrayList<>();
-  private final List<Removal> removals = new ArrayList<>();
+  private final List<ListChange> removals = new ArrayList<>();
+  private final List<ListChange> unshown = new ArrayList<>();
   private long starts = 1;
   private long commits;
 
-  private record Removal(ReplicatedNode node, java.time.Instant due) {}
+  /** A change of the list that is due, of an endpoint's entry. */
+  private record ListChange(ReplicatedNode node, java.time.Instant due) {}
 
   ReplicatedGroup(int replicas, int synchronousReplicas) {
     this.synchronousReplicas = synchronousReplicas;
@@ -180,7 +182,7 @@
   /** Ends an endpoint; its entry goes later. */
   void crash(ReplicatedNode node) {
     node.running = false;
-    removals.add(new Removal(node, proxy.clock.instant().plus(ENTRY_LIFETIME)));
+    removals.add(new ListChange(node, proxy.clock.instant().plus(ENTRY_LIFETIME)));
   }
 
   /** Begins a planned shutdown. */
@@ -221,6 +223,14 @@
     return start(node.id.value(), node.address.getHostString());
   }
 
+  /** Starts an endpoint again without its log; it is listed with its earlier start for a while. */
+  ReplicatedNode restartUnseen(ReplicatedNode node) {
+    ReplicatedNode next = restart(node);
+    publish(node);
+    unshown.add(new ListChange(next, proxy.clock.instant().plus(ENTRY_LIFETIME)));
+    return next;
+  }
+
   /** Starts a crashed endpoint again with its log and its role. */
   void comeBack(ReplicatedNode node) {
     node.running = true;
@@ -250,12 +260,20 @@
 
   /** Removes entries that are due, and lets replicas follow the primary of the latest term. */
   private void settle() {
-    for (Removal removal : List.copyOf(removals)) {
+    for (ListChange removal : List.copyOf(removals)) {
       if (!proxy.clock.instant().isBefore(removal.due())) {
         proxy.pools.remove(removal.node().id);
         removals.remove(removal);
       }
     }
+    for (ListChange late : List.copyOf(unshown)) {
+      if (!proxy.clock.instant().isBefore(late.due())) {
+        unshown.remove(late);
+        if (late.node().running) {
+          publish(late.node());
+        }
+      }
+    }
     Optional<ReplicatedNode> leader =
         nodes.stream()
             .filter(node -> node.running && isLeader(node))
--- a/serving/src/test/java/org/mimosacleat/serving/promotion/ReplicatedNode.java
+++ b/serving/src/test/java/org/mimosacleat/serving/promotion/ReplicatedNode.java
@@ -32,6 +32,9 @@
   /** Whether it receives commits. */
   boolean receives = true;
 
+  /** How many commits it receives at once. */
+  long commitsAtOnce = Integer.MAX_VALUE;
+
   boolean draining;
   Instant drainingSince = Instant.MAX;
 
@@ -45,11 +48,18 @@
     return running && reachable;
   }
 
+  /** Gives up what the primary does not have, and receives what is missing, or a part of it. */
   void follow(ReplicatedNode primary) {
     role = EndpointRole.REPLICA;
     term = primary.term;
+    int common = 0;
+    while (common < Math.min(log.size(), primary.log.size())
+        && log.get(common).equals(primary.log.get(common))) {
+      common++;
+    }
+    long end = Math.min(primary.log.size(), common + commitsAtOnce);
     log.clear();
-    log.addAll(primary.log);
+    log.addAll(primary.log.subList(0, (int) end));
   }
 
   /** Returns the end of the log; databases differ in the term that they report with it. */
