A customer's first statement at a proxy waits for the first token of its rate, not only for its share

Cause: a statement that comes before this proxy has shares waits for them. The grant that was waited for sets the rate, whose bucket is empty at that moment, and lets the statement go on in the same moment: it finds no token and is refused.

No token is given away, so the bounds of the rate hold as before.

Evidence: AdmissionControllerTest shows the refusal directly after the shares were set, and when a statement is admitted.

--- a/core/src/main/java/org/mimosacleat/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/mimosacleat/core/admission/AdmissionController.java
@@ -29,6 +29,14 @@
     limitsOf(customer).setShare(resource, units);
   }
 
+  /**
+   * Returns whether a customer has a share of each resource, and the share of the rate has yielded
+   * a first statement; a new share begins without any.
+   */
+  public boolean isReady(TeamId customer) {
+    return limitsOf(customer).isReady();
+  }
+
   /** Admits one statement, or refuses it as not run. */
   public Either<Failure, Permit> admit(TeamId customer) {
     CustomerLimits limits = limitsOf(customer);
@@ -53,11 +61,6 @@
     return limitsOf(customer).getAndResetDemand(resource);
   }
 
-  /** Removes a customer that the lists no longer contain. */
-  public void remove(TeamId customer) {
-    limitsByCustomer.remove(customer);
-  }
-
   private CustomerLimits limitsOf(TeamId customer) {
     CustomerLimits existing = limitsByCustomer.get(customer);
     return existing != null
--- a/core/src/main/java/org/mimosacleat/core/admission/CustomerLimits.java
+++ b/core/src/main/java/org/mimosacleat/core/admission/CustomerLimits.java
@@ -1,5 +1,6 @@
 package org.mimosacleat.core.admission;
 
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.LongAdder;
@@ -27,6 +28,12 @@
     }
   }
 
+  boolean isReady() {
+    return concurrentShare > 0
+        && connectionShare > 0
+        && rate.timeToNextToken().filter(Duration::isZero).isPresent();
+  }
+
   /** Admits one statement; returns the exhausted resource if it is refused, otherwise null. */
   Resource tryAdmitStatement() {
     attempts.increment();
--- a/core/src/main/java/org/mimosacleat/core/admission/HomeShares.java
+++ b/core/src/main/java/org/mimosacleat/core/admission/HomeShares.java
@@ -51,12 +51,6 @@
     shares.put(customer, byResource);
   }
 
-  /** Drops all shares, because the leases of this VM have expired or the lists have changed. */
-  public void clear() {
-    shares.keySet().forEach(admissionController::remove);
-    shares.clear();
-  }
-
   /** Returns the reports that are due, addressed to the coordinators of their customers. */
   public List<ShareReport> dueReports(Function<TeamId, VmId> coordinatorOf) {
     Instant now = clock.instant();
--- a/core/src/test/java/org/mimosacleat/core/admission/AdmissionControllerTest.java
+++ b/core/src/test/java/org/mimosacleat/core/admission/AdmissionControllerTest.java
@@ -1,6 +1,7 @@
 package org.mimosacleat.core.admission;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
@@ -34,6 +35,21 @@
     assertTrue(controller.admit(CUSTOMER).isLeft());
   }
 
+  /** Guards against a first statement that is refused because it came with the first shares. */
+  @Test
+  void customerIsReadyOnceItsFirstStatementIsAdmitted() {
+    for (Resource resource : Resource.values()) {
+      assertFalse(controller.isReady(CUSTOMER));
+      controller.setShare(CUSTOMER, resource, 100);
+    }
+
+    assertFalse(controller.isReady(CUSTOMER));
+    assertTrue(controller.admit(CUSTOMER).isLeft());
+    clock.advance(Duration.ofMillis(11));
+    assertTrue(controller.isReady(CUSTOMER));
+    assertTrue(controller.admit(CUSTOMER).isRight());
+  }
+
   @Test
   void refusedConnectionsCountAsDemand() {
     controller.setShare(CUSTOMER, Resource.CONNECTIONS, 1);
--- a/proxy/src/main/java/org/mimosacleat/proxy/fleet/InitialShareLatch.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/fleet/InitialShareLatch.java
@@ -1,36 +1,30 @@
 package org.mimosacleat.proxy.fleet;
 
 import java.time.Duration;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import org.mimosacleat.core.admission.Resource;
 
-/** Delays the first statements of a customer until this proxy has a share of each resource. */
+/** Delays the first statements of a customer until this proxy has shares to admit them. */
 final class InitialShareLatch {
-  private final CountDownLatch remaining = new CountDownLatch(Resource.values().length);
-  private final Set<Resource> received = ConcurrentHashMap.newKeySet();
+  private final CountDownLatch closed = new CountDownLatch(1);
 
-  /** Records that this proxy has a share of a resource. */
-  void markReceived(Resource resource) {
-    if (received.add(resource)) {
-      remaining.countDown();
-    }
+  /** Lets the statements that wait, and all later ones, go on. */
+  void open() {
+    closed.countDown();
   }
 
   /**
-   * Waits until this proxy has a share of each resource, but no longer than {@code timeout}. If a
-   * share is still missing then, the admission controller refuses the statement.
+   * Waits until the latch is open, but no longer than {@code timeout}. If shares are still missing
+   * then, the admission controller refuses the statement.
    */
   void await(Duration timeout) {
-    if (remaining.getCount() == 0) {
+    if (closed.getCount() == 0) {
       return;
     }
     try {
-      if (!remaining.await(timeout.toNanos(), TimeUnit.NANOSECONDS)) {
-        // Opens the latch: later statements must not wait again for a share that may never arrive.
-        Set.of(Resource.values()).forEach(this::markReceived);
+      if (!closed.await(timeout.toNanos(), TimeUnit.NANOSECONDS)) {
+        // Later statements must not wait again for shares that may never arrive.
+        open();
       }
     } catch (InterruptedException interrupted) {
       Thread.currentThread().interrupt();
--- a/proxy/src/main/java/org/mimosacleat/proxy/fleet/ShareService.java
+++ b/proxy/src/main/java/org/mimosacleat/proxy/fleet/ShareService.java
@@ -109,7 +109,7 @@
         () -> {
           switch (message) {
             case ShareMessage.Reports reports -> handleReports(from, reports.reports());
-            case ShareMessage.Grants grants -> grants.grants().forEach(this::acceptGrant);
+            case ShareMessage.Grants grants -> grants.grants().forEach(shares::accept);
           }
         });
   }
@@ -119,7 +119,7 @@
     mailbox.close();
   }
 
-  /** Waits for a bounded time until this proxy has its first shares for a customer. */
+  /** Waits for a bounded time until this proxy can admit a first statement of a customer. */
   private void awaitInitialShares(TeamId customer) {
     initialShares
         .computeIfAbsent(customer, any -> new InitialShareLatch())
@@ -127,6 +127,12 @@
   }
 
   private void tick() {
+    initialShares.forEach(
+        (customer, latch) -> {
+          if (admissionController.isReady(customer)) {
+            latch.open();
+          }
+        });
     if (homeCandidates().contains(self)) {
       // A coordinator raises shares only while every home reports, even without any demand.
       lists.activeLists().customers().keySet().forEach(shares::add);
@@ -158,21 +164,12 @@
       coordinators.handleReport(report).ifPresent(grants::add);
     }
     if (holder.equals(self)) {
-      grants.forEach(this::acceptGrant);
+      grants.forEach(shares::accept);
     } else if (!grants.isEmpty()) {
       send(holder, new ShareMessage.Grants(grants));
     }
   }
 
-  private void acceptGrant(ShareGrant grant) {
-    boolean accepted = shares.accept(grant);
-    if (accepted && grant.units() > 0) {
-      initialShares
-          .computeIfAbsent(grant.customer(), any -> new InitialShareLatch())
-          .markReceived(grant.resource());
-    }
-  }
-
   /** Returns the VMs that are the home of a group or the next candidates for it. */
   private Set<VmId> homeCandidates() {
     Set<VmId> homes = new HashSet<>();
