--- a/review/cases-2/org/mimosacleat/platform/standin/SlowPromotion.java
+++ b/review/cases-2/org/mimosacleat/platform/standin/SlowPromotion.java
@@ -15,11 +15,11 @@
  * promoted in its place, and acknowledged.
  */
 final class SlowPromotion {
-  private static final long LAG_MILLIS = 400;
-  private static final long LAG_DURATION_MILLIS = 6_500;
+  static final long LAG_MILLIS = 400;
+  static final long LAG_DURATION_MILLIS = 6_500;
   private static final long SAMPLE_MILLIS = 5;
-  private static final long SLOWNESS_MILLIS = 4_000;
-  private static final long DRAIN_MILLIS = 7_000;
+  static final long SLOWNESS_MILLIS = 4_000;
+  static final long DRAIN_MILLIS = 7_000;
 
   /** A former primary goes on until a second after it can reach the new one. */
   private static final long STEP_DOWN_MILLIS = 900;
@@ -31,7 +31,7 @@
   }
 
   /** An acknowledged write: when its client sent it, and which instance signed it. */
-  private record Write(String id, long sentAt, String signature) {}
+  record Write(String id, long sentAt, String signature) {}
 
   private static boolean holds(Lab lab) throws Exception {
     final Journal journal = lab.journal;
@@ -119,7 +119,7 @@
   }
 
   /** Lets a replica receive each commit of the primary {@value #LAG_MILLIS} ms late for a while. */
-  private static void receiveLate(Lab lab, Instance replica, long until)
+  static void receiveLate(Lab lab, Instance replica, long until)
       throws ReflectiveOperationException {
     replica.deaf = true;
     Field field = Instance.class.getDeclaredField("log");
@@ -141,7 +141,7 @@
   }
 
   /** Lets a primary that was replaced without DEMOTE notice that no sooner than the pages say. */
-  private static void stepDownLate(Lab lab, List<Instance> all) {
+  static void stepDownLate(Lab lab, List<Instance> all) {
     Thread.ofVirtual()
         .start(
             () -> {
@@ -181,7 +181,7 @@
             });
   }
 
-  private static Optional<Instance> leader(Group group) {
+  static Optional<Instance> leader(Group group) {
     synchronized (group) {
       return group.instances.stream()
           .filter(one -> one.running && one.primary)
@@ -189,7 +189,7 @@
     }
   }
 
-  private static void keepWriting(Lab lab, Proxy proxy, List<Write> writes) {
+  static void keepWriting(Lab lab, Proxy proxy, List<Write> writes) {
     Thread.ofVirtual()
         .start(
             () -> {
