--- a/review/cases-2/org/mimosacleat/platform/standin/LargeWrites.java
+++ b/review/cases-2/org/mimosacleat/platform/standin/LargeWrites.java
@@ -7,14 +7,16 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Some clients of one proxy write statements of almost 1 MiB for a while, then leave. Checked:
+ * Clients of one proxy come in short bursts, write statements of almost 1 MiB and leave. Checked:
  * afterwards the proxy serves small writes again.
  */
 final class LargeWrites {
   private static final int CLIENTS = 36;
   private static final int LARGE_BYTES = (1 << 20) - 64;
   private static final int SMALL_BYTES = 500;
-  private static final long BURST_MILLIS = 20_000;
+  private static final int BURSTS = 6;
+  private static final long BURST_MILLIS = 3_000;
+  private static final long PAUSE_MILLIS = 3_000;
 
   /** Longer than recover_s, which is 12 s. */
   private static final long REST_MILLIS = 14_000;
@@ -40,7 +42,10 @@
     for (Proxy one : lab.proxies) {
       lab.await("a write succeeds at " + one.name, 10_000, () -> writesAt(lab, one));
     }
-    write(lab, proxy, Lab.troubled() ? LARGE_BYTES : SMALL_BYTES);
+    for (int burst = 0; burst < BURSTS; burst++) {
+      write(lab, proxy, Lab.troubled() ? LARGE_BYTES : SMALL_BYTES);
+      Thread.sleep(PAUSE_MILLIS);
+    }
     Thread.sleep(REST_MILLIS);
     int served = 0;
     int servedByOther = 0;
